--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -20,6 +20,7 @@
 MOST_HEAD = 32 * 1024  # bytes before the body, interim answers too: a sound backend sends a hundredth of it
 MOST_ANSWER = MOST_HEAD + 2 * MOST_BODY  # bytes in all: chunks may bring their framing along, within reason
 STALLED = 0.5  # seconds that the rest of an answer may take once it has begun: what it has is ready by then
+STALLED_PART = 0.2  # of the attempt's time, at most, that this may be: another try must still be of use
 RESTED = 0.01  # seconds unused before another request goes out: what comes behind an answer shows by then
 IDLE_PART = 0.5  # of the backends' idle limit after which a connection is closed here: well before theirs
 LEAST_IDLE = 0.05  # seconds that a connection may stay unused, however many kept ones turn out to be dead
@@ -228,7 +229,8 @@
             # a backend that answers at all may have run the request, however odd the answer is
             attempt.end(Answer(Outcome.BROKEN))
         elif self.begun and self.stall is None:
-            self.stall = self.pool.loop.call_later(STALLED, self.has_stalled, attempt)
+            patience = min(STALLED, STALLED_PART * (attempt.until - attempt.sent_at))
+            self.stall = self.pool.loop.call_later(patience, self.has_stalled, attempt)
 
     def parse(self, data: bytes) -> None:
         while self.parser is not None and data:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,7 +6,7 @@
 import os
 import select
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
@@ -47,6 +47,26 @@
         return (await self.start(wait)[1]).outcome
 
 
+class Timers:
+    """The loop, but for its timers: none goes off by itself, and each can be waited for and set off."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.create_task, self.create_connection = loop.create_task, loop.create_connection
+        self.set: dict[str, tuple[float, Callable[[], None]]] = {}
+        self.loop, self.changed = loop, asyncio.Event()
+
+    def call_later(self, delay: float, what: Callable[..., None], *given: object) -> asyncio.TimerHandle:
+        self.set[what.__name__] = delay, lambda: what(*given)
+        self.changed.set()
+        return self.loop.call_later(1e6, what, *given)  # a handle to cancel
+
+    async def until(self, name: str) -> tuple[float, Callable[[], None]]:
+        while name not in self.set:
+            self.changed.clear()
+            await self.changed.wait()
+        return self.set[name]
+
+
 @asynccontextmanager
 async def sending(*script: Step, keepalive: float = 60.0) -> AsyncIterator[tuple[Sender, BackendPeer]]:
     peer = BackendPeer()
@@ -355,6 +375,22 @@
     run(test)
 
 
+@pytest.mark.parametrize(("wait", "patience"), [(1.0, 0.2), (0.25, 0.05), (1000.0, 0.5)])
+def test_a_stalled_answer_ends_while_another_try_is_still_of_use(wait: float, patience: float) -> None:
+    # where aims are short, half a second outlasted the attempt: it timed out, and nothing was tried again
+    async def test() -> None:
+        async with sending(says(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")) as (sender, _):
+            timers = Timers(sender.pool.loop)
+            sender.pool.loop = timers  # type: ignore[assignment]
+            _, ended = sender.start(wait)
+            delay, stalled = await timers.until("has_stalled")
+            assert delay == pytest.approx(patience, rel=0.01)
+            stalled()
+            assert (await ended).outcome is Outcome.BROKEN
+
+    run(test)
+
+
 def test_a_backend_at_a_new_address_is_served_by_no_old_connection() -> None:
     # an answer that came after the address had changed put its connection back under the same id
     async def test() -> None:
