Refuse repeats too old to be in time, unless fleet and bank have room to spare

Those whose wanted time was over were served like fresh ones: they took capacity and quota and earned nothing, and the fresh ones refused for them came back as the next late repeats.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -16,6 +16,8 @@
 from embersill.work import LEAST_LIMIT, START_LIMIT, Attempt, Job, Server
 
 HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
+LATE_ROOM = 0.25  # of the limit on what is out, below which a repeat that comes too late still goes on
+SAME_PATIENCE = 0.95  # of a first try's time, from which a repeat has as much: transit takes some of it
 READING_LIFE = 2.5  # periods a reading decides the slice: outlives one lost call, not a silent counter
 DEMAND_BLEND = 0.5  # weight of the last period in the smoothed demand: a few requests a second make it jump
 NEED_SHARE = 0.8  # of the even slice asked for, or of the bank spent, from which a customer is worth counting
@@ -69,6 +71,7 @@
         self.jobs: dict[int, Job] = {}
         self.throttles: dict[str, Throttle] = {}
         self.sweep: deque[str] = deque()
+        self.patience: dict[str, float] = {}  # how long clients wait for a first try, by class
         self.usual: dict[tuple[str, float], float] = {}
         self.fleet_fails, self.retry_credit = 0.0, RETRY_STORE
         self.passed, self.judged = 1.0, now
@@ -110,7 +113,11 @@
         units = request.units
         throttle.refill(self.now)
         throttle.note_demand(units, self.now)
-        bound = min(HOLD_SHARE * klass.aim, (request.deadline - self.now) / 2)
+        job.asked = self.now - self.waited(request, klass)
+        if self.too_late(job) and not self.has_spare(throttle):
+            return self.answer(job, PERIOD)
+        wanted = max(job.asked + klass.aim - self.now, 0.0)
+        bound = min(HOLD_SHARE * klass.aim, wanted, (request.deadline - self.now) / 2)
         job.hold_until = self.now + bound
         if throttle.thin:
             self.read_level(job)
@@ -135,6 +142,31 @@
         self.release(throttle)
         self.actions.append(SetTimer(max(bound, 1e-6), f"h{request.id}"))
 
+    def waited(self, request: Request, klass: RequestClass) -> float:
+        """Seconds since the client first asked: the answer to a repeat is wanted by the first try's time.
+
+        Clients wait equally long for each try of a class, and for all of them until its deadline: a repeat
+        with less time than first tries have tells by it how old it is. Another is as old as the longest
+        advice makes it, but no older than its time allows.
+        """
+        patience = request.patience or request.deadline - self.now
+        usual = self.patience.get(klass.name, patience)
+        if not request.repeat:
+            self.patience[klass.name] = usual + BLEND / 3 * (patience - usual)
+            return 0.0
+        age = max(klass.deadline - patience, 0.0)
+        advised = self.settings.max_retry_after if self.settings.retry_after else 0.0
+        return age if patience < SAME_PATIENCE * usual else min(age, advised)
+
+    def too_late(self, job: Job) -> bool:
+        """True for a repeat whose answer would come after it is wanted: it would take a fresh one's place."""
+        return job.request.repeat and self.now + self.usual_for(job) > job.asked + job.klass.aim
+
+    def has_spare(self, throttle: Throttle) -> bool:
+        """True where a request that earns nothing takes nothing from those that do."""
+        idle = self.passed >= 1.0 and self.flight < LATE_ROOM * self.limit
+        return idle and throttle.level + throttle.held >= throttle.bank / 2
+
     def drop_held(self, job: Job) -> None:
         throttle = job.throttle
         throttle.unhold(job)
@@ -450,7 +482,7 @@
 
     def useful_until(self, job: Job) -> float:
         # an attempt is given up once its answer is worth little, or a backlog of such work builds up
-        end = job.arrived + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
+        end = job.asked + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
         return min(job.request.deadline, max(end, self.now + LATE_AT * job.klass.aim))
 
     def attempt_late(self, job: Job, attempt: Attempt) -> None:
@@ -494,7 +526,7 @@
             self.release(throttle)
 
     def after_failure(self, job: Job, outcome: Outcome) -> None:
-        end = min(job.request.deadline, job.arrived + job.klass.aim)
+        end = min(job.request.deadline, job.asked + job.klass.aim)
         # one turned away cost no work: only in overload does another come dear
         free = outcome.never_ran and self.random.random() < self.passed
         useful = outcome is not Outcome.TIMED_OUT and end - self.now > self.usual_for(job)
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -130,6 +130,7 @@
     width: int
     first_gateway: int
     repeat: bool
+    patience: float = 0.0  # seconds that the client waits from its send on; 0: until the deadline
 
 
 @dataclass(frozen=True, slots=True)
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -105,7 +105,7 @@
         pending.guard = self.loop.call_later(max(end - self.clock(), 0.0), self.rescue, pending)
         self.post(Request(
             pending.number, call.klass, call.plan, call.customer, pending.end, call.units, call.width,
-            call.first_gateway, call.repeat,
+            call.first_gateway, call.repeat, call.budget,
         ))
         return pending.number
 
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -21,6 +21,7 @@
         self.request, self.klass, self.throttle, self.arrived = request, klass, throttle, now
         self.attempts: list[Attempt] = []
         self.out, self.hold_until = 0, now
+        self.asked = now  # when its client first asked, as far as it can be told
         self.ended = self.streaming = self.settled = self.trusted = self.sure = self.beyond = False
         self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
         self.risky: Attempt | None = None  # the first attempt not proven unrun
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,95 @@
+"""Clients' repeats: how old they are, and which of them may take the place of a fresh request."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from embersill.control import Gateway
+from embersill.interface import Action, Event, Refuse, Request, Send
+from tests.bed import request as http_request
+from tests.bed import run, running
+from tests.helpers import SAFE, gateway, request
+
+
+def repeat(number: int, patience: float) -> Request:
+    asked = request(number, customer=f"x{number}", deadline=100.0 + patience)
+    return replace(asked, repeat=True, patience=patience)
+
+
+def busy(patience: float = SAFE.deadline, **changes: Any) -> Gateway:
+    """A gateway that has seen a first try, with enough out that there is no room to spare."""
+    made = gateway(**changes)
+    made.handle(replace(request(1, customer="first"), patience=patience), 100.0)
+    made.limit = made.flight * 4.0
+    return made
+
+
+def test_a_repeat_that_comes_too_late_gives_way_to_fresh_requests() -> None:
+    # half of all arrivals on a busy day were repeats: each took capacity and quota, and earned nothing
+    made = busy()
+    late = made.handle(repeat(2, SAFE.deadline - 1.5 * SAFE.aim), 100.0)
+    assert [type(a) for a in late] == [Refuse] and late[0].retry_after > 0  # type: ignore[union-attr]
+    assert made.throttles["x2"].level == made.throttles["x2"].bank  # and took nothing of the quota
+    assert any(isinstance(a, Send) for a in made.handle(repeat(3, SAFE.deadline - 0.3 * SAFE.aim), 100.0))
+    assert any(isinstance(a, Send) for a in made.handle(request(4, customer="fresh"), 100.0))
+
+
+def test_a_repeat_that_comes_too_late_is_served_where_there_is_room() -> None:
+    made = busy()
+    made.limit = float("inf")
+    tries = [made.handle(repeat(n, 1.0), 100.0) for n in (2, 3)]
+    assert all(any(isinstance(a, Send) for a in actions) for actions in tries)
+    spent = made.throttles["x2"]
+    spent.level = spent.bank / 4  # what is left there is for fresh ones
+    again = replace(repeat(4, 1.0), customer="x2")
+    assert [type(a) for a in made.handle(again, 100.0)] == [Refuse]
+
+
+@pytest.mark.parametrize(("patience", "advice", "sent"), [
+    (2.0, 1.0, False),  # the advice alone made it as old as the aim
+    (2.0, 0.3, True),
+    (3.9, 1.0, True),  # but no older than its time allows
+])
+def test_a_repeat_with_as_much_time_as_a_first_try_is_as_old_as_the_advice(
+    patience: float, advice: float, sent: bool
+) -> None:
+    made = busy(patience, max_retry_after=advice)
+    assert any(isinstance(a, Send) for a in made.handle(repeat(2, patience), 100.0)) == sent
+
+
+def test_without_advice_nothing_is_known_of_such_a_repeat() -> None:
+    made = busy(2.0, retry_after=False)
+    assert any(isinstance(a, Send) for a in made.handle(repeat(2, 2.0), 100.0))
+
+
+def test_what_a_repeat_waits_for_ends_with_the_time_its_first_try_set() -> None:
+    made = busy()
+    actions = made.handle(repeat(2, SAFE.deadline - 0.4 * SAFE.aim), 100.0)
+    sent = next(a for a in actions if isinstance(a, Send))
+    assert sent.timeout == pytest.approx(0.6 * SAFE.aim)
+    throttle = made.throttles["x2"]
+    throttle.level = 1.0 - 0.3 * throttle.rate  # 0.3 s short: a fresh one is held for it, an old one is not
+    old = replace(repeat(3, SAFE.deadline - 0.8 * SAFE.aim), customer="x2")
+    assert any(isinstance(a, Refuse) for a in made.handle(old, 100.0))
+    assert not any(isinstance(a, Refuse) for a in made.handle(request(4, customer="x2"), 100.0))
+
+
+def test_the_module_is_told_how_long_the_client_waits_from_its_send(monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[Request] = []
+    handle = Gateway.handle
+
+    def listening(self: Gateway, event: Event, now: float) -> list[Action]:
+        if isinstance(event, Request):
+            told.append(event)
+        return handle(self, event, now)
+
+    async def test() -> None:
+        monkeypatch.setattr(Gateway, "handle", listening)
+        async with running() as bed:
+            assert (await (await bed.client()).ask(http_request(1, budget=3.25, X_Again="1")))[0] == 200
+        assert [(r.patience, r.repeat) for r in told] == [(3.25, True)]
+
+    run(test)
