Tell a refused client to come back soon where credit here comes too late for it

A client refused for want of credit or capacity was told the wait for credit at this gateway, up to the longest advice of half a second. Where that is after its answer is wanted it came back as a late repeat, though another gateway of its set or a freed place could have served it in time.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -17,6 +17,7 @@
 
 HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
 LATE_ROOM = 0.25  # of the limit on what is out, below which a repeat that comes too late still goes on
+RETURN_PART = 0.15  # of the aim after which one may be served in time that can't wait for credit here
 SAME_PATIENCE = 0.95  # of a first try's time, from which a repeat has as much: transit takes some of it
 READING_LIFE = 2.5  # periods a reading decides the slice: outlives one lost call, not a silent counter
 DEMAND_BLEND = 0.5  # weight of the last period in the smoothed demand: a few requests a second make it jump
@@ -124,7 +125,7 @@
         else:
             self.start_counting(throttle)
         if job.counted < 0 and not job.trusted:
-            return self.answer(job, PERIOD)
+            return self.answer(job, self.come_back(job, PERIOD))
         free = not throttle.queue and throttle.has_open() and not throttle.asking
         if free and (job.trusted or throttle.wait(units) <= 0):
             throttle.level -= units if plan.rate > 0 else 0.0
@@ -185,7 +186,15 @@
         if pays and roomy and not job.attempts and not job.ended:
             job.beyond = True
             return self.place(job)
-        return self.answer(job, wait)
+        return self.answer(job, self.come_back(job, wait))
+
+    def come_back(self, job: Job, wait: float) -> float:
+        """Seconds until a refused client should ask again: once there is credit here, if that is in time.
+
+        If not, soon: another gateway of the customer's may have the credit, or a backend a free place.
+        """
+        left = job.asked + job.klass.aim - self.now - self.usual_for(job)
+        return wait if wait <= left else RETURN_PART * job.klass.aim
 
     def release(self, throttle: Throttle) -> None:
         """Lets go what the credit covers, turns away what waited too long, and sets the next exact timer."""
@@ -440,7 +449,7 @@
         if throttle.plan.rate > 0 and not job.attempts and not job.beyond:
             throttle.level = min(throttle.level + job.request.units, throttle.bank - throttle.held)
             self.take_back(job)
-        self.answer(job, PERIOD)
+        self.answer(job, self.come_back(job, PERIOD))
 
     def may_send(self, job: Job, server: Server) -> bool:
         """The rules for one more attempt, each checked here and nowhere else."""
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -93,3 +93,27 @@
         assert [(r.patience, r.repeat) for r in told] == [(3.25, True)]
 
     run(test)
+
+
+def advice(made: Gateway, asked: Request) -> float:
+    refused = next(a for a in made.handle(asked, 100.0) if isinstance(a, Refuse))
+    return refused.retry_after
+
+
+def test_a_refused_client_is_told_when_there_is_credit_if_that_is_in_time() -> None:
+    made = gateway()
+    made.handle(request(1, units=4.0), 100.0)  # the bank is empty
+    assert advice(made, request(2)) == pytest.approx(0.5)
+
+
+def test_a_refused_client_is_told_to_come_back_soon_where_credit_here_comes_too_late() -> None:
+    # told half a second or more, it came back too late to be served in time by anybody
+    made = gateway()
+    made.handle(request(1, units=4.0), 100.0)
+    assert advice(made, request(2, units=3.0)) == pytest.approx(0.15 * SAFE.aim)  # 1.5 s here
+    pressed = gateway()
+    pressed.limit = -1.0
+    assert advice(pressed, request(3)) == pytest.approx(0.15 * SAFE.aim)
+    silent = gateway(retry_after=False)
+    silent.limit = -1.0
+    assert advice(silent, request(4)) == 0.0
