--- a/embersill/control.py
+++ b/embersill/control.py
@@ -117,7 +117,7 @@
         job.asked = self.now - self.waited(request, klass)
         if self.too_late(job) and not self.has_spare(throttle):
             return self.answer(job, PERIOD)
-        wanted = max(job.asked + klass.aim - self.now, 0.0)
+        wanted = max(wanted_until(job) - self.now, 0.0)
         bound = min(HOLD_SHARE * klass.aim, wanted, (request.deadline - self.now) / 2)
         job.hold_until = self.now + bound
         if throttle.thin:
@@ -161,7 +161,7 @@
 
     def too_late(self, job: Job) -> bool:
         """True for a repeat whose answer would come after it is wanted: it would take a fresh one's place."""
-        return job.request.repeat and self.now + self.usual_for(job) > job.asked + job.klass.aim
+        return job.request.repeat and self.now + self.usual_for(job) > wanted_until(job)
 
     def has_spare(self, throttle: Throttle) -> bool:
         """True where a request that earns nothing takes nothing from those that do."""
@@ -193,7 +193,7 @@
 
         If not, soon: another gateway of the customer's may have the credit, or a backend a free place.
         """
-        left = job.asked + job.klass.aim - self.now - self.usual_for(job)
+        left = wanted_until(job) - self.now - self.usual_for(job)
         return wait if wait <= left else RETURN_PART * job.klass.aim
 
     def release(self, throttle: Throttle) -> None:
@@ -491,8 +491,7 @@
 
     def useful_until(self, job: Job) -> float:
         # an attempt is given up once its answer is worth little, or a backlog of such work builds up
-        end = job.asked + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
-        return min(job.request.deadline, max(end, self.now + LATE_AT * job.klass.aim))
+        return min(job.request.deadline, max(wanted_until(job), self.now + LATE_AT * job.klass.aim))
 
     def attempt_late(self, job: Job, attempt: Attempt) -> None:
         attempt.overdue = True  # speaks at once, and no longer fills the limit that sound backends need
@@ -658,6 +657,12 @@
     return limit + OUT_MORE if out + 1 > limit / 2 else limit
 
 
+def wanted_until(job: Job) -> float:
+    """The aim, counted from the first try, or the deadline where a late answer keeps its worth."""
+    worthless = job.klass.late_share < WORTH_WAITING
+    return job.asked + job.klass.aim if worthless else job.request.deadline
+
+
 def usual_key(job: Job) -> tuple[str, float]:
     """Whole units: a fraction is the client's word, and each other one would be kept for good."""
     return job.klass.name, float(math.ceil(job.request.units))
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -65,6 +65,11 @@
     assert any(isinstance(a, Send) for a in made.handle(repeat(2, 2.0), 100.0))
 
 
+def test_a_repeat_whose_late_answer_keeps_its_worth_is_not_too_late() -> None:
+    made = busy(classes=(replace(SAFE, late_share=0.6),))
+    assert any(isinstance(a, Send) for a in made.handle(repeat(2, SAFE.deadline - 1.5 * SAFE.aim), 100.0))
+
+
 def test_what_a_repeat_waits_for_ends_with_the_time_its_first_try_set() -> None:
     made = busy()
     actions = made.handle(repeat(2, SAFE.deadline - 0.4 * SAFE.aim), 100.0)
