Discovery: back off by the fleet's size, and start from the known list when refused

Ruled out: watches that are followed at once (each renewal of the 15 was answered), a dead agent (503 in 4 ms or after 2 s), whole lists (all calls asked for changes). At fault: FIRST_BACK_OFF and MOST_BACK_OFF in net/discovery.py, 50 ms to 2 s whatever the fleet's size: each call was answered only after its caller had given it up.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -23,7 +23,7 @@
 from embersill.net.clients import Front
 from embersill.net.console import Console, Operations
 from embersill.net.counter import Counter
-from embersill.net.discovery import BadList, Discovery, Listing, read_address, read_listing
+from embersill.net.discovery import BadList, Discovery, Listing, back_off_of, read_address, read_listing
 from embersill.net.driver import Driver
 from embersill.net.handover import Handover
 from embersill.net.listening import bind, inherit
@@ -129,7 +129,8 @@
         self.driver.list_told(told.known)
         self.discovery = Discovery(
             told.discovery, told.limits.dial_timeout, self.driver.list_told,
-            told.known.generation if told.known.entries else None)
+            told.known.generation if told.known.entries else None,
+            back_off_of(told.settings.gateways, told.settings.ask_every))
         self.front = Front(self.driver, told.settings, clock, clients, self.serves)
         self.driver.dismiss = self.front.drain
         self.listen, self.descriptor = told.listen, told.descriptor
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -19,7 +19,9 @@
 ANSWER_WITHIN = 2.0  # seconds past the wait that an answer may take before the call counts as failed
 MOST_PATIENCE = 3  # times that, after calls without an answer: each gave up its place in a line
 BUSY = (429, 503)  # statuses of an agent short of room, which say nothing of what was asked for
-FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 2.0  # seconds before a failed call is made again: doubled each time
+SLOT = 0.05  # seconds before a failed call is made again, for each gateway that may have failed with it
+MOST_SLOTS = 10  # times the first of these waits that a later one grows to: it doubles with each failure
+MOST_BACK_OFF = 2.0  # seconds that it may grow to in the smallest fleet: drains have to be heard of
 LEAST_PART = 0.5  # of these that is waited at least: the rest is drawn, so that a herd does not stay one
 MOST_ADVICE = 4.0  # seconds of a Retry-After that are kept to: drains have to be heard of
 MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
@@ -94,6 +96,24 @@
         return 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class BackOff:
+    """Seconds before a failed call is made again, from the first failure to the last of many."""
+
+    first: float
+    most: float
+
+
+def back_off_of(gateways: int, ask_every: float) -> BackOff:
+    """By the fleet's size, since discovery answers so many calls a second whoever makes them.
+
+    Without that a fleet keeps it over its room for good: each call is then answered only after its caller
+    has given it up. Nobody need wait longer than discovery expects each gateway to.
+    """
+    first = SLOT * gateways
+    return BackOff(first, max(MOST_BACK_OFF, min(MOST_SLOTS * first, ask_every)))
+
+
 class DiscoveryConnection(asyncio.Protocol):
     """One connection to the agent; a call's answer, or its end, resolves the call's future."""
 
@@ -151,14 +171,18 @@
         self.fail(Unanswered("the connection ended"))
 
 
+LONE = back_off_of(1, 0.0)
+
+
 class Agent:
     """Follows the list at one address until it is stopped, and tells every answer in order."""
 
     def __init__(
         self, address: tuple[str, int], dial_timeout: float, told: Callable[[Agent, Listing], None],
-        generation: int | None = None,
+        generation: int | None = None, back_off: BackOff = LONE, refused: Callable[[], None] | None = None,
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        self.back_off, self.refused = back_off, refused
         self.host = f"{address[0]}:{address[1]}"
         self.connection: DiscoveryConnection | None = None
         self.generation = generation  # of the list that is known; None: the whole list is needed
@@ -167,7 +191,7 @@
         self.task = asyncio.get_running_loop().create_task(self.run())
 
     async def run(self) -> None:
-        back_off = FIRST_BACK_OFF
+        back_off = self.back_off.first
         while True:
             try:
                 listing = await self.call()
@@ -176,9 +200,9 @@
                 self.failed(error)
                 advised = error.retry_after if isinstance(error, BadList) else 0.0
                 await asyncio.sleep(max(advised, back_off * random.uniform(LEAST_PART, 1.0)))
-                back_off = min(2 * back_off, MOST_BACK_OFF)
+                back_off = min(2 * back_off, self.back_off.most)
                 continue
-            back_off, self.wait_ms, self.unanswered = FIRST_BACK_OFF, WATCH_MS, 0
+            back_off, self.wait_ms, self.unanswered = self.back_off.first, WATCH_MS, 0
             if not listing.whole and self.generation is not None and listing.generation < self.generation:
                 self.generation = None  # discovery counts anew: its changes say nothing of what was before
                 continue
@@ -191,6 +215,8 @@
     def failed(self, error: Exception) -> None:
         """How the next call is to be made after one that failed."""
         self.wait_ms = 0  # a silent agent is noticed sooner by a call that does not wait
+        if isinstance(error, Unanswered) and self.refused is not None:
+            self.refused()
         if isinstance(error, TimeoutError):
             self.unanswered += 1
         elif isinstance(error, BadList | ValueError) and not isinstance(error, Unanswered):
@@ -231,16 +257,19 @@
 
     def __init__(
         self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None],
-        known: int | None = None,
+        known: int | None = None, back_off: BackOff = LONE,
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        self.back_off = back_off
         self.known = known  # the version of the list that this gateway starts with, for the first agent
-        self.heard = asyncio.Event()  # set once discovery has answered at all
+        # set once discovery has answered at all, be it that it has no room: it won't tell more any sooner
+        self.heard = asyncio.Event()
         self.agents: list[Agent] = []  # the one that is believed, and behind it the one that is to follow it
 
     def start(self) -> None:
         known, self.known = self.known, None
-        self.agents.append(Agent(self.address, self.dial_timeout, self.agent_told, known))
+        self.agents.append(Agent(
+            self.address, self.dial_timeout, self.agent_told, known, self.back_off, self.heard.set))
 
     def move(self, address: tuple[str, int]) -> None:
         self.address = address
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,10 +9,10 @@
 from embersill.interface import ListKind, Status
 from embersill.net import discovery
 from embersill.net.discovery import (
-    BadList, Discovery, Listing, read_address, read_listing, read_seconds,
+    BadList, Discovery, Listing, back_off_of, read_address, read_listing, read_seconds,
 )
 from tests.bed import request, run, running
-from tests.peers import DiscoveryPeer, message
+from tests.peers import DiscoveryPeer, message, read_message
 
 
 async def follow(peer: DiscoveryPeer) -> tuple[Discovery, asyncio.Queue[Listing]]:
@@ -104,6 +104,33 @@
     run(test)
 
 
+def test_failed_calls_of_a_large_fleet_come_no_faster_than_those_of_a_small_one() -> None:
+    # discovery answers so many calls a second, whoever makes them: past that each one is given up in its line
+    small, large = back_off_of(4, 10.0), back_off_of(40, 10.0)
+    assert large.first == 10 * small.first and 40 / large.most <= 2 * 4 / small.most
+    assert back_off_of(1000, 10.0).most == 10.0  # discovery expects each gateway as often as that
+    assert back_off_of(1, 0.0) == back_off_of(1, 10.0) == discovery.BackOff(0.05, 2.0)
+
+
+def test_a_gateway_whose_first_call_finds_no_room_serves_from_the_list_that_it_knows() -> None:
+    class Full(DiscoveryPeer):
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.asked.append((await read_message(reader))[0])
+            writer.write(message(503))
+
+    async def test() -> None:
+        peer, told = Full(), asyncio.Queue[Listing]()
+        await peer.start()
+        made = Discovery(read_address(peer.address), 5.0, told.put_nowait, 1, back_off_of(40, 10.0))
+        made.start()
+        await made.heard.wait()  # what the start waits for
+        assert len(peer.asked) == 1 and told.empty()
+        made.stop()
+        await peer.stop()
+
+    run(test)
+
+
 def test_a_process_starts_from_the_version_that_it_was_given() -> None:
     async def test() -> None:
         peer, told = DiscoveryPeer(), asyncio.Queue[Listing]()
