--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -143,7 +143,12 @@
         with pytest.MonkeyPatch.context() as patch:
             waits: list[float | None] = []
             timeout = asyncio.timeout
-            patch.setattr("embersill.__main__.asyncio.timeout", lambda s: (waits.append(s), timeout(s))[1])
+
+            def listen(seconds: float | None) -> asyncio.Timeout:
+                waits.append(seconds)
+                return timeout(seconds)
+
+            patch.setattr("embersill.__main__.asyncio.timeout", listen)
             await bed.start(roomy_settings(dial_timeout=40.0), 1024)
         assert 0.04 in waits and 1.0 not in waits
         client = await bed.client()
