Discovery: one plain line in the log when no list can be had

One line a streak of failures, its reason cut to 200 characters; the list at hand stays and the back-off is as before. At fault: Agent.failed in net/discovery.py said nothing.

--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -24,6 +24,7 @@
 MOST_BACK_OFF = 2.0  # seconds that it may grow to in the smallest fleet: drains have to be heard of
 LEAST_PART = 0.5  # of these that is waited at least: the rest is drawn, so that a herd does not stay one
 MOST_ADVICE = 4.0  # seconds of a Retry-After that are kept to: drains have to be heard of
+MOST_WORDS = 200  # characters of a reason in the log: it may quote what came
 MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
 
 log = logging.getLogger("embersill")
@@ -188,6 +189,7 @@
         self.generation = generation  # of the list that is known; None: the whole list is needed
         self.wait_ms = WATCH_MS if generation is None else 0  # of the next watch
         self.unanswered = 0  # calls without an answer, one after the other
+        self.complained = False  # of the calls that have failed since the last list
         self.task = asyncio.get_running_loop().create_task(self.run())
 
     async def run(self) -> None:
@@ -203,6 +205,7 @@
                 back_off = min(2 * back_off, self.back_off.most)
                 continue
             back_off, self.wait_ms, self.unanswered = self.back_off.first, WATCH_MS, 0
+            self.complained = False
             if not listing.whole and self.generation is not None and listing.generation < self.generation:
                 self.generation = None  # discovery counts anew: its changes say nothing of what was before
                 continue
@@ -215,6 +218,10 @@
     def failed(self, error: Exception) -> None:
         """How the next call is to be made after one that failed."""
         self.wait_ms = 0  # a silent agent is noticed sooner by a call that does not wait
+        if not self.complained:
+            self.complained = True
+            why = " ".join(str(error).split())[:MOST_WORDS] or "no answer in time"
+            log.warning("no list from discovery at %s, the one at hand stays: %s", self.host, why)
         if isinstance(error, Unanswered) and self.refused is not None:
             self.refused()
         if isinstance(error, TimeoutError):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -191,6 +191,39 @@
     run(test)
 
 
+def test_a_list_that_can_not_be_used_is_told_of_in_one_plain_line(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        peer = DiscoveryPeer()
+        await peer.start()
+        made, told = await follow(peer)
+        await told.get()
+        for wrong in (b'{"generation": 2,\n "instances": 7}', b"rubbish" * 99):
+            asked = len(peer.asked)
+            await peer.until_asked(asked)
+            for writer in list(peer.open):
+                writer.write(message(200, wrong))
+            await peer.change(peer.entry("a", "127.0.0.1:9"))
+            assert (await told.get()).entries[0].backend.address == "a"
+        made.stop()
+        await peer.stop()
+
+    run(test)
+    assert [r.getMessage().count("\n") for r in caplog.records] == [0] * len(caplog.records)
+    assert caplog.records and all(len(r.getMessage()) < 300 for r in caplog.records)
+
+
+def test_a_streak_of_failures_is_told_of_once(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        agent = discovery.Agent(("127.0.0.1", 9), 1.0, lambda agent, listing: None, generation=7)
+        for error in (TimeoutError(), BadList("bad\nlist"), discovery.Unanswered("status 503")):
+            agent.failed(error)
+        agent.stop()
+
+    run(test)
+    assert [r.getMessage() for r in caplog.records] == [
+        "no list from discovery at 127.0.0.1:9, the one at hand stays: no answer in time"]
+
+
 def test_advice_that_makes_no_sense_is_not_kept_to() -> None:
     assert [read_seconds(text) for text in (b"1.5", b"86400", b"-3", b"Tue, 01 Dec 2026")] == [1.5, 4, 0, 0]
 
