Cold backends: one budget for the fleet, of which each gateway's draws spend its part

Seen: in virtual time, instances of the module before backends of which some start cold (tests/fleet.py): nothing over N + 2 root N + 2 before or after, but 0.16 and 0.21 of N used while warm ones were late (multiples 4 and 2), with 0.76 and 0.74 of the requests served (20 gateways, 400 starts of a fleet size). At fault: cold_chance took 0.34 of the settings' multiple as its bound, and of that 0.7 while others failed; and a gateway that had widened its choice drew cold ones that were not its own, beside those whose own they were. Ruled out: the bound on chance itself: the worst window of any start stayed 8 requests under it. Change: embersill/ramp.py derives the fleet's budget, half of N, and each gateway's part by its draws, whatever it sees of others; up to it a cold one has as much work as warm ones, by what it can do, and what is left is for when these are full.

Replaced as strict: the test of a cold one's part asked for a range or the most; it now asks for the exact part.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -15,6 +15,7 @@
     Unwanted, Uploaded,
 )
 from embersill.leaving import client_left, forget, unwanted
+from embersill.ramp import keeps
 from embersill.standing import as_returned, maintain
 from embersill.streams import long_body
 from embersill.subset import subset
@@ -42,8 +43,6 @@
 ROOMY = 0.5  # of the limit on what is out, below which requests beyond a quota that pays for them go on
 BLEND = 0.15  # weight of one sample in a backend's learned figures: about the last dozen answers count
 WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
-COLD_PART = 0.34  # of the work that would push a cold backend over, at most: chance and large work double it
-COLD_PRESSED = 0.7  # of that part which is left while answers fail or are late: the sound ones need the help
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
 LEAST_OUT = 1.0  # attempts a gateway may always have out; the fraction of one is drawn
@@ -70,7 +69,8 @@
         self.actions: list[Action] = []
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # those that serve
-        self.near: Sequence[Server] = []  # this gateway's own part of them, for drawing
+        self.near: Sequence[Server] = []  # this gateway's part of them, for drawing
+        self.own: set[Server] = set()  # the same while it has not widened it
         self.banned: set[str] = set()  # by operators, whatever the list says of them
         self.returned: dict[str, float] = {}  # when operators put one back
         self.draining = self.paired = False
@@ -428,10 +428,8 @@
         for number in range(DRAWS if pool else 0):
             server = pool[int(self.random.random() * len(pool))]
             if server.cold_share(self.now, self.settings) < 1.0:
-                if number == 0 and self.random.random() < self.cold_chance(server):
-                    self.drawn = server
-                    if self.may_send(job, server):
-                        return server
+                if number == 0 and keeps(self, job, server, False):
+                    return server
                 continue
             cost = self.cost(job, server) if self.may_send(job, server) else -1.0
             if cost >= 0 and (best is None or cost < least):
@@ -439,7 +437,11 @@
             found += cost >= 0
             if found >= CHOICES and least < SHUN * job.klass.aim:
                 break
-        return best or next((s for s in (*pool, *self.order) if self.may_send(job, s)), None)
+        best = best or next((s for s in (*pool, *self.order) if self.may_send(job, s)), None)
+        if best is None and pool:
+            server = pool[int(self.random.random() * len(pool))]
+            return server if keeps(self, job, server, True) else None
+        return best
 
     def cost(self, job: Job, server: Server) -> float:
         server.fade(self.now)
@@ -448,17 +450,6 @@
         slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0)
         return self.usual_for(job) * slow + (server.bad + server.overdue + again) * job.klass.aim
 
-    def cold_chance(self, server: Server) -> float:
-        """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work.
-
-        With few that are warm and sound its share grows as theirs does, or they are pushed over by the rest.
-        """
-        most = self.settings.fall_multiple * COLD_PART
-        part = min(1.0, most) * max(1.0 - self.fleet_fails, COLD_PRESSED)
-        sound = sum(s.cold_share(self.now, self.settings) for s in self.near if s.bad < SHUN)
-        part = min(most, part * len(self.near) / max(sound, 1.0))
-        return part * server.cold_share(self.now, self.settings)
-
     def pressed(self, job: Job) -> bool:
         """Sheds while answers are late, those with little credit first: overload no one backend shows."""
         throttle = job.throttle
@@ -702,6 +693,7 @@
     def set_order(self) -> None:
         self.order = [s for s in self.servers.values()
                       if s.backend.status is Status.SERVING and s.backend.address not in self.banned]
+        self.own = set(subset(self.order, self.settings.me, self.settings.gateways, lambda s: True))
         self.set_near()
 
     def set_near(self) -> None:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,18 +1,21 @@
-"""How much a cold backend is given, by what else there is."""
+"""How much a cold backend is given: by what else there is, and by all gateways together."""
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from embersill.control import COLD_PART
+from embersill.control import Gateway
+from embersill.interface import Maintain, Send
+from embersill.ramp import PART, budget, cold_chance
 from embersill.work import SHUN
-from tests.helpers import backend, backends, gateway
+from tests.fleet import Result, cases, play
+from tests.helpers import SETTINGS, backend, backends, gateway, request
 
 
-@pytest.mark.parametrize(("sick", "cold", "most"), [(0, 1, False), (2, 1, True), (0, 3, True), (2, 3, True)])
-def test_a_cold_backend_is_given_more_where_few_others_are_warm_and_sound(
-    sick: int, cold: int, most: bool
-) -> None:
+@pytest.mark.parametrize(("sick", "cold"), [(0, 1), (2, 1), (0, 3), (2, 3)])
+def test_a_cold_backend_is_given_more_where_few_others_are_warm_and_sound(sick: int, cold: int) -> None:
     # left to a part of an even share each, cold ones stood idle while the few sound ones were pushed over
     warm = [backend(f"w{n}") for n in range(5 - cold)]
     made = gateway(now=100.0, listed=backends(*warm, *(backend(f"c{n}", started=95.0) for n in range(cold))))
@@ -20,9 +23,74 @@
     share = server.cold_share(100.0, made.settings)
     for n in range(sick):
         made.servers[f"w{n}"].bad = SHUN
-    even = min(1.0, made.settings.fall_multiple * COLD_PART) * share
-    chance = made.cold_chance(server)
+    most = made.settings.fall_multiple * PART * share
+    even = share * 5 / (5 - cold - sick + cold * share)  # of what each of the sound ones can do
     # never more than is safe, and that where the others could not take the rest
-    assert even <= chance <= made.settings.fall_multiple * COLD_PART * share + 1e-9
-    if most:
-        assert chance == pytest.approx(made.settings.fall_multiple * COLD_PART * share)
+    assert cold_chance(made, server) == pytest.approx(min(even, most))
+    assert (even > most) == (sick > 0)
+
+
+def fleet_of(width: int, count: int) -> list[Gateway]:
+    """Gateways before so many backends, the first of which has come back a second ago."""
+    listed = backends(backend("c", started=99.0), *(backend(f"w{n}") for n in range(count - 1)))
+    made = [Gateway(replace(SETTINGS, gateways=width, me=me), me, 100.0) for me in range(width)]
+    for each in made:
+        each.handle(listed, 100.0)
+    return made
+
+
+@pytest.mark.parametrize("multiple", [2.0, 4.0])
+@pytest.mark.parametrize(("width", "count"), [(1, 8), (3, 9), (20, 36), (30, 36), (200, 100), (200, 7)])
+def test_the_gateways_parts_add_up_to_the_fleets_budget_whatever_each_sees(
+    width: int, count: int, multiple: float
+) -> None:
+    # a gateway that saw others fail raised its part by what it alone saw, and so did those that had widened
+    fleet = fleet_of(width, count)
+    for me, made in enumerate(fleet):
+        made.settings = replace(made.settings, fall_multiple=multiple)
+        for server in made.near:
+            server.bad = SHUN * (server.backend.address != "c" and me % 3 > 0)  # most see all others as bad
+        made.set_near()
+    rates = [1.0 + 9.0 * (me % 7 == 0) for me in range(width)]  # some have ten times what others have
+    reach = [me for me, made in enumerate(fleet) if made.servers["c"] in made.own]
+    even = sum(rates[me] / len(fleet[me].own) for me in reach)  # a second, to a warm one
+    share = fleet[0].servers["c"].cold_share(100.0, fleet[0].settings)
+    drawn = [rates[me] / len(made.near) for me, made in enumerate(fleet)]
+    most = sum(rate * budget(made, made.servers["c"]) for rate, made in zip(drawn, fleet, strict=True))
+    kept = sum(rate * cold_chance(made, made.servers["c"]) for rate, made in zip(drawn, fleet, strict=True))
+    assert most == pytest.approx(PART * multiple * share * even)
+    assert kept <= most + 1e-9
+    assert all(cold_chance(made, made.servers["c"]) == 0 for me, made in enumerate(fleet) if me not in reach)
+
+
+@pytest.mark.parametrize("way", ["new", "reborn at its id", "put back"])
+def test_a_backend_is_cold_however_it_came_back(way: str) -> None:
+    made = gateway(now=100.0, listed=backends(backend("a"), backend("b")), fall_multiple=0.0)
+    if way == "new":
+        made.handle(backends(backend("a"), backend("c", started=100.0)), 100.0)
+    elif way == "reborn at its id":
+        made.handle(backends(backend("a"), backend("b", started=100.0)), 100.0)
+    else:
+        made.handle(Maintain("b", True), 100.0)
+        made.handle(Maintain("b", False), 100.0)
+    sent = [action.backend for number in range(100) for action in made.handle(
+        request(number, customer=f"c{number}"), 100.0) if isinstance(action, Send)]
+    assert sent and set(sent) == {"a"}  # nothing is allowed for a cold one: only the warm one is left
+
+
+def played(gateways: int, starts: int) -> dict[tuple[str, float], list[Result]]:
+    results: dict[tuple[str, float], list[Result]] = {}
+    for case in cases(gateways, starts):
+        results.setdefault((case.load, case.multiple), []).append(play(case))
+    return results
+
+
+@pytest.mark.parametrize(("gateways", "starts"), [(1, 30), (3, 30), (20, 120), (30, 60), (200, 80)])
+def test_a_fleet_sends_no_cold_backend_more_than_chance_explains(gateways: int, starts: int) -> None:
+    for (load, multiple), results in played(gateways, starts).items():
+        used = sum(r.used for r in results) / len(results)
+        print(f"cold: {gateways} gateways, {load}, multiple {multiple:.0f}: "
+              f"worst {max(r.worst for r in results):+.1f}, used {used:.2f}")
+        assert sum(r.over for r in results) == 0
+        if load == "pressed":  # 0.16 to 0.18 and 0.21 to 0.25 were used while the others were late
+            assert used > (0.2 if multiple > 2.0 else 0.3)
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -8,6 +8,7 @@
 
 from embersill.control import Gateway
 from embersill.interface import Count, Counted, Outcome, Refuse, Send, SetTimer, TimerDue
+from embersill.ramp import cold_chance
 from embersill.throttle import EPS, Throttle
 from tests.helpers import CAPPED, PLAN, SETTINGS, Watch, backend, backends, ended, gateway, request
 
@@ -160,7 +161,7 @@
     share = made.servers["b"].cold_share(100.0, made.settings)
     assert 0.2 < share < 1.0
     made.fleet_fails = 0.9
-    assert made.cold_chance(made.servers["b"]) > 0.5 * share
+    assert cold_chance(made, made.servers["b"]) > 0.5 * share
 
 
 def test_what_is_learned_is_bounded_whatever_units_clients_name() -> None:
