Descriptors: where one can't be had idle clients make way, and own dials are tried again

Seen: the program of run under idle clients, discovery and counter down, its limit lowered to what it had open (256 and 1,024 at first): new clients waited 5.0 to 5.2 s each, until idle ones had their time, and what discovery and the counter named was not reached within 10 s. With the limit as told at the start all came back. At fault: accept paused on EMFILE and nobody made way, since fewer than `most` were open; the dials of discovery, counter and backends failed, the last as a backend that can't be reached, which is held against it. Ruled out: the reserve (25% to 64 descriptors) and the bounds on clients and backends: never passed by what was open. Change: net/descriptors.py, used by all three dials; Front.short_of_descriptors has clients' bound fall by 16 and as many idle ones go, and the bound grows back by 10 a second.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -131,7 +131,11 @@
         self.discovery = Discovery(
             told.discovery, told.limits.dial_timeout, self.driver.list_told,
             told.known.generation if told.known.entries else None,
-            pace_of(told.settings.gateways, told.settings.list_pushed, told.limits.stop_sending_within))
+            pace_of(told.settings.gateways, told.settings.list_pushed, told.limits.stop_sending_within),
+            self.short_of_descriptors)
+        self.pool.short = self.short_of_descriptors
+        if self.driver.counter is not None:
+            self.driver.counter.short = self.short_of_descriptors
         # its agent is on this machine: what takes longer than a dial stands in a line, and clients wait too
         self.first_list_within = min(FIRST_LIST_WITHIN, told.limits.dial_timeout)
         deadline = max(c.deadline for c in told.settings.classes)
@@ -150,6 +154,9 @@
         self.filed = told.discovery_filed, told.counter
         self.settled = False  # the list is discovery's own, or as good as can be had
 
+    def short_of_descriptors(self) -> None:
+        self.front.short_of_descriptors()
+
     def serves(self) -> bool:
         return self.settled and self.driver.gateway.takes_clients()
 
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -16,6 +16,7 @@
 
 from embersill.interface import Outcome
 from embersill.net.bodies import HELD, MOST_BODY, READ_AT_ONCE, Head, Sink, Upload
+from embersill.net.descriptors import dial, nothing_makes_way
 
 MOST_HEAD = 32 * 1024  # bytes before the body, interim answers too: a sound backend sends a hundredth of it
 MOST_FRAMING = 64  # bytes of framing that each byte of a body may bring along: pieces come as small as one
@@ -436,6 +437,7 @@
         self.idle_limit = self.most_idle = keepalive * IDLE_PART
         self.loop = asyncio.get_running_loop()
         self.buffer = bytearray(READ_AT_ONCE)
+        self.short = nothing_makes_way  # called where no descriptor is left
         self.dispatches = 0  # attempts whose last byte the kernel has taken
         self.lines: dict[str, Line] = {}
         self.connections: set[BackendConnection] = set()
@@ -529,9 +531,9 @@
         made, up = BackendConnection(self, line), False
         try:
             async with asyncio.timeout(self.dial_timeout):
-                await self.loop.create_connection(lambda: made, *line.address)
+                await dial(lambda: made, line.address, self.short)
             up = made.usable() and (attempt.write_by is None or self.clock() < attempt.write_by)
-        except (OSError, TimeoutError):  # refused, unreachable, no descriptor left, or not up in time
+        except (OSError, TimeoutError):  # refused, unreachable, or not up in time
             pass
         finally:
             self.dialling.pop(attempt, None)
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import select
 import socket
@@ -17,6 +16,7 @@
 from embersill.interface import Settings
 from embersill.net.bodies import HELD, MOST_BODY, READ_AT_ONCE, Upload
 from embersill.net.calls import BadRequest, CallReader
+from embersill.net.descriptors import AGAIN, LACKING
 from embersill.net.driver import Call, Driver
 from embersill.net.exchange import Exchange
 from embersill.net.hangups import HangUps
@@ -41,7 +41,7 @@
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 LINGER_SENDING = 4.0  # the same for one that is still sending a long body, and may not look until then
 MAKE_WAY = 16  # connections at most that make way at one look: the look costs more than they do
-ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
+LEAST_CLIENTS = 8  # connections that clients may have at least, however short descriptors are
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
 
 SINGLE = frozenset((b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info",
@@ -531,6 +531,7 @@
     def __init__(self, driver: Driver, settings: Settings, clock: Callable[[], float], most: int,
                  is_ready: Callable[[], bool]) -> None:
         self.driver, self.clock, self.most = driver, clock, most
+        self.bound = most  # connections that there may be now: fewer while descriptors are short
         self.buffer = bytearray(READ_AT_ONCE)
         self.reader = CallReader(settings)
         self.serves = is_ready
@@ -585,7 +586,8 @@
             except BlockingIOError:
                 return False
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                if error.errno in LACKING:
+                    self.short_of_descriptors()
                     self.pause()
                     return False
                 continue  # that client has gone again
@@ -603,8 +605,14 @@
 
     def has_room(self) -> bool:
         """True if one more fits; those longest without a request make way: a crowd may never send one."""
-        if len(self.connections) + len(self.taking_in) < self.most:
-            return True
+        return len(self.connections) + len(self.taking_in) < self.bound or self.make_way()
+
+    def short_of_descriptors(self) -> None:
+        """None was left, though fewer than may be were taken: the others need them, so clients have fewer."""
+        self.bound = max(min(self.bound, len(self.connections)) - MAKE_WAY, min(LEAST_CLIENTS, self.most))
+        self.make_way()
+
+    def make_way(self) -> bool:
         now, gone = self.clock(), 0
         for connection in sorted(self.connections, key=attrgetter("used", "idle_since")):
             if connection.make_way(now):
@@ -617,7 +625,8 @@
     def sweep(self) -> None:
         self.sweeper.cancel()
         now = self.clock()
-        full = len(self.connections) >= FULL_FROM * self.most
+        self.bound = min(self.bound + 1, self.most)
+        full = len(self.connections) >= FULL_FROM * self.bound
         parting = self.draining and now - self.drained_since >= STILL_SENT
         for connection in list(self.connections):
             connection.look_after(now, IDLE_LIMIT_FULL if full else IDLE_LIMIT)
@@ -629,7 +638,7 @@
         """Leaves connections in the kernel's queue, where nothing is lost, until there is room again."""
         if self.listener is not None and self.again is None:
             self.loop.remove_reader(self.listener)
-            self.again = self.loop.call_later(ACCEPT_AGAIN, self.resume)
+            self.again = self.loop.call_later(AGAIN, self.resume)
 
     def resume(self) -> None:
         self.again = None
--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -12,6 +12,7 @@
 import hiredis
 
 from embersill.interface import Counted, Outcome
+from embersill.net.descriptors import dial, nothing_makes_way
 
 LINES = 4  # connections: names are dealt out over them, so that one slow part holds up fewer of the others
 SILENT_AFTER = 10.0  # times the patience that the first in line may wait before its connection is given up
@@ -146,6 +147,7 @@
     ) -> None:
         self.clock, self.address, self.patience, self.told = clock, address, patience, told
         self.dial_timeout = dial_timeout
+        self.short = nothing_makes_way  # called where no descriptor is left
         self.loop = asyncio.get_running_loop()
         self.lines: list[CounterLine | None] = [None] * LINES
         self.leaving: set[CounterLine] = set()  # to an address that was given up, with calls still out
@@ -182,7 +184,7 @@
     async def connect(self, line: CounterLine) -> None:
         try:
             async with asyncio.timeout(self.dial_timeout):
-                await self.loop.create_connection(lambda: line, *self.address)
+                await dial(lambda: line, self.address, self.short)
         except (OSError, TimeoutError):
             line.end()
         if line.dead:
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -14,6 +14,7 @@
 import httptools
 
 from embersill.interface import Backend, ListKind, Status
+from embersill.net.descriptors import dial, nothing_makes_way
 from embersill.settings import STATUSES
 
 TOLD_WITHIN = 6.0  # seconds after discovery has a change and can be reached from which it counts as told
@@ -209,9 +210,10 @@
     def __init__(
         self, address: tuple[str, int], dial_timeout: float, told: Callable[[Agent, Listing], None],
         generation: int | None = None, pace: Pace = LONE, refused: Callable[[], None] | None = None,
+        short: Callable[[], None] = nothing_makes_way,
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
-        self.pace, self.refused = pace, refused
+        self.pace, self.refused, self.short = pace, refused, short
         self.host = f"{address[0]}:{address[1]}"
         self.connection: DiscoveryConnection | None = None
         self.generation = generation  # of the list that is known; None: the whole list is needed
@@ -275,9 +277,8 @@
             raise BadList("a list nested without end") from error
 
     async def connect(self) -> DiscoveryConnection:
-        loop = asyncio.get_running_loop()
         async with asyncio.timeout(self.dial_timeout):
-            _, self.connection = await loop.create_connection(DiscoveryConnection, *self.address)
+            self.connection = await dial(DiscoveryConnection, self.address, self.short)
         return self.connection
 
     def drop(self) -> None:
@@ -295,10 +296,10 @@
 
     def __init__(
         self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None],
-        known: int | None = None, pace: Pace = LONE,
+        known: int | None = None, pace: Pace = LONE, short: Callable[[], None] = nothing_makes_way,
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
-        self.pace = pace
+        self.pace, self.short = pace, short
         self.known = known  # the version of the list that this gateway starts with, for the first agent
         # set once discovery has answered at all, be it that it has no room: it won't tell more any sooner
         self.heard = asyncio.Event()
@@ -307,7 +308,8 @@
     def start(self) -> None:
         known, self.known = self.known, None
         self.agents.append(Agent(
-            self.address, self.dial_timeout, self.agent_told, known, self.pace, self.heard.set))
+            self.address, self.dial_timeout, self.agent_told, known, self.pace, self.heard.set,
+            self.short))
 
     def move(self, address: tuple[str, int]) -> None:
         self.address = address
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -68,17 +68,20 @@
 
 @asynccontextmanager
 async def process(
-    tmp_path: pathlib.Path, descriptors: int = 0, pinned: bool = False
+    tmp_path: pathlib.Path, descriptors: int = 0, pinned: bool = False, console: bool = False
 ) -> AsyncIterator[tuple[Bed, Any]]:
-    """The program as a process of its own, with the peers in this one."""
-    bed = Bed(1)
+    """The program as a process of its own, with the peers in this one; it knows the first backend."""
+    bed = Bed(2 if console else 1)
     for peer in (*bed.backends, bed.discovery, bed.counter):
         await peer.start()
     environ = {"RELAY_DISCOVERY": bed.discovery.address} if pinned else {}
     bed.discovery.entries = {"b0": bed.discovery.entry("b0", bed.backends[0].address)}
-    with socket.socket() as probe:
+    with socket.socket() as probe, socket.socket() as other:
         probe.bind((HOST, 0))
-        bed.port = probe.getsockname()[1]
+        other.bind((HOST, 0))
+        bed.port, bed.console_port = probe.getsockname()[1], other.getsockname()[1]
+    if console:
+        environ["RELAY_CONSOLE"] = f"{HOST}:{bed.console_port}"
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**bed.told(roomy_settings(), 1024), "listen": f"{HOST}:{bed.port}"}))
 
