--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -531,7 +531,7 @@
     def __init__(self, driver: Driver, settings: Settings, clock: Callable[[], float], most: int,
                  is_ready: Callable[[], bool]) -> None:
         self.driver, self.clock, self.most = driver, clock, most
-        self.bound = most  # connections that there may be now: fewer while descriptors are short
+        self.withheld = 0  # of these, while descriptors are short
         self.buffer = bytearray(READ_AT_ONCE)
         self.reader = CallReader(settings)
         self.serves = is_ready
@@ -605,11 +605,12 @@
 
     def has_room(self) -> bool:
         """True if one more fits; those longest without a request make way: a crowd may never send one."""
-        return len(self.connections) + len(self.taking_in) < self.bound or self.make_way()
+        return len(self.connections) + len(self.taking_in) < self.most - self.withheld or self.make_way()
 
     def short_of_descriptors(self) -> None:
         """None was left, though fewer than may be were taken: the others need them, so clients have fewer."""
-        self.bound = max(min(self.bound, len(self.connections)) - MAKE_WAY, min(LEAST_CLIENTS, self.most))
+        bound = min(self.most - self.withheld, len(self.connections)) - MAKE_WAY
+        self.withheld = self.most - max(bound, min(LEAST_CLIENTS, self.most))
         self.make_way()
 
     def make_way(self) -> bool:
@@ -625,8 +626,8 @@
     def sweep(self) -> None:
         self.sweeper.cancel()
         now = self.clock()
-        self.bound = min(self.bound + 1, self.most)
-        full = len(self.connections) >= FULL_FROM * self.bound
+        self.withheld = max(self.withheld - 1, 0)
+        full = len(self.connections) >= FULL_FROM * (self.most - self.withheld)
         parting = self.draining and now - self.drained_since >= STILL_SENT
         for connection in list(self.connections):
             connection.look_after(now, IDLE_LIMIT_FULL if full else IDLE_LIMIT)
