--- a/tests/bed.py
+++ b/tests/bed.py
@@ -92,6 +92,10 @@
             await peer.start()
         entries = [self.discovery.entry(f"b{n}", b.address) for n, b in enumerate(self.backends)]
         self.discovery.entries = {e["instanceId"]: e for e in entries}
+        await self.begin(env, sockets)
+
+    async def begin(self, env: dict[str, Any], sockets: int) -> None:
+        """The gateway alone, before peers that are there."""
         told = self.told(env, sockets)
         configuration = build_configuration(told, {})
         self.program = Program(configuration)
