Counter: wait for its answers by how far it is, not only as long as the settings say

At fault: Counter.add gave each call the settings' 30 ms, however far the counter is. Change: a call is waited for as long as the settings say, or four times the shortest answer if that is longer; late answers tell how long that is. A near counter's line is still given up after the settings' time.

--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -16,6 +16,8 @@
 
 LINES = 4  # connections: names are dealt out over them, so that one slow part holds up fewer of the others
 SILENT_AFTER = 10.0  # times the patience that the first in line may wait before its connection is given up
+IN_LINE = 4.0  # times the shortest time of an answer from which one has stood in line, where that is longer
+SHORTEST_GROWS = 1.001  # times, by each answer, that the shortest time is taken to be: the way may change
 IDLE_LIMIT = 3.0  # seconds unused after which a line is opened anew: the counter closes idle ones unannounced
 TOTAL = re.compile(rb"-?\d{1,20}(\.\d{1,20})?([eE][+-]?\d{1,2})?")
 
@@ -83,8 +85,9 @@
             while (reply := self.reader.gets()) is not False:
                 if not self.written:
                     return self.close()  # an answer to nothing: what follows can't be matched either
-                answer = read_reply(reply)
-                self.counter.answered(self.written.popleft(), *(answer or (Outcome.TIMED_OUT, 0.0)))
+                answer, call = read_reply(reply), self.written.popleft()
+                self.counter.heard(call)
+                self.counter.answered(call, *(answer or (Outcome.TIMED_OUT, 0.0)))
                 if answer is None:
                     return self.close()  # no answer that follows is sure to be the next call's
                 if self.leaving and not self.written:
@@ -147,6 +150,7 @@
     ) -> None:
         self.clock, self.address, self.patience, self.told = clock, address, patience, told
         self.dial_timeout = dial_timeout
+        self.shortest = 0.0  # seconds of the shortest answer, late ones too; 0: none has come
         self.short = nothing_makes_way  # called where no descriptor is left
         self.loop = asyncio.get_running_loop()
         self.lines: list[CounterLine | None] = [None] * LINES
@@ -156,7 +160,7 @@
     def add(self, name: str, amount: float, forget_after: float) -> None:
         now = self.clock()
         call = CounterCall(name, now)
-        call.timer = self.loop.call_later(self.patience, self.out_of_patience, call)
+        call.timer = self.loop.call_later(self.longest, self.out_of_patience, call)
         # by customer: calls for one name keep their order, and so do the names of one customer
         place = zlib.crc32(name.partition(".")[0].encode()) % LINES
         line = self.lines[place]
@@ -170,9 +174,23 @@
         words = ("CNT.ADD", name, f"{amount:.9g}", str(max(1, round(forget_after * 1000))))
         line.call(call, hiredis.pack_command(words))  # type: ignore[arg-type]  # its stub takes one word only
 
+    @property
+    def longest(self) -> float:
+        """Seconds that an answer is waited for: longer than the settings say where the way itself takes long.
+
+        A counter that is short of room answers some soon, and the others wait in its line: they are given up
+        as the settings have it. One that is far away answers none soon, and would never be heard in time.
+        """
+        return max(self.patience, IN_LINE * self.shortest)
+
+    def heard(self, call: CounterCall) -> None:
+        took = self.clock() - call.started
+        self.shortest = min(self.shortest * SHORTEST_GROWS, took) if self.shortest else took
+
     def move(self, address: tuple[str, int]) -> None:
         """The next calls go to another address; those that are out end on the lines that they went by."""
         self.address = address
+        self.shortest = 0.0  # the way there is another
         old, self.lines = self.lines, [None] * LINES
         for line in old:
             if line is not None and not line.dead:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -12,6 +12,7 @@
 from embersill.net.counter import IDLE_LIMIT, SILENT_AFTER, Counter
 from embersill.net.discovery import read_address
 from tests.bed import run
+from tests.clock import run_clocked
 from tests.peers import HOST, SOON, CounterPeer
 
 
@@ -217,3 +218,60 @@
             await other.stop()
 
     run(test)
+
+
+class Far(CounterPeer):
+    """Answers each call after the next of these times."""
+
+    def __init__(self, *takes: float) -> None:
+        super().__init__()
+        self.takes = list(takes)
+        self.say = [b"$1\r\n1\r\n"] * len(takes)
+        self.sleeping: list[asyncio.Task[None]] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def free_later(seconds: float) -> None:
+            await asyncio.sleep(seconds)
+            self.free.set()
+
+        while self.takes:
+            self.free.clear()
+            await reader.readexactly(1)
+            reader._buffer[:0] = b"*"  # type: ignore[attr-defined]  # put back, for the call to be read whole
+            self.sleeping.append(asyncio.create_task(free_later(self.takes.pop(0))))
+            await self.serve_one(reader, writer)
+
+    async def serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
+            size = int((await reader.readuntil(b"\r\n"))[1:])
+            await reader.readexactly(size + 2)
+        await self.free.wait()
+        writer.write(self.say.pop(0))
+
+
+@pytest.mark.parametrize(("takes", "outcomes"), [
+    # far away: the first is given up, late as it comes it tells how far, and all later ones are waited for
+    ([0.05, 0.06, 0.15, 0.05], ["timed out", "served", "served", "served"]),
+    # near, and one stands in its line: given up as the settings have it
+    ([0.002, 0.06, 0.002, 0.025], ["served", "timed out", "served", "served"]),
+    # far away, and one stands in line all the same
+    ([0.05, 0.3, 0.06], ["timed out", "timed out", "served"]),
+])
+def test_answers_are_waited_for_by_how_far_the_counter_is(takes: list[float], outcomes: list[str]) -> None:
+    # at a patience of 30 ms 45% of the calls to a counter 21 to 95 ms away had no answer in time
+    async def test() -> None:
+        peer, told = Far(*takes), asyncio.Queue[Counted]()
+        await peer.start()
+        counter = Counter(
+            asyncio.get_running_loop().time, read_address(peer.address), 0.03, 5.0, told.put_nowait)
+        assert counter.longest == 0.03
+        for outcome in outcomes:
+            counter.add("c1.7", 1.0, 4.0)
+            assert (await told.get()).outcome.value == outcome
+            await asyncio.sleep(0.4)  # a late answer has come by then
+        counter.move(read_address(peer.address))
+        assert counter.longest == 0.03  # the new one's way is not known
+        counter.close()
+        await peer.stop()
+
+    run_clocked(test)
