--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -62,16 +62,20 @@
             if self.fault:
                 await self.misbehave(writer)
                 continue
-            since, wait = re.search(r"since=(\d+)", first), re.search(r"timeout_ms=(\d+)", first)
-            body = self.listing(True, list(self.entries.values()))
-            if since is not None and wait is not None:
-                async with self.changed:
-                    body = await self.changes_since(int(since[1]), int(wait[1]) / 1000)
-                if self.fault:  # it began while this watch was out
-                    await self.misbehave(writer)
-                    continue
+            body = await self.answer_to(first)
+            if self.fault:  # it began while this watch was out
+                await self.misbehave(writer)
+                continue
             writer.write(message(200, body))
 
+    async def answer_to(self, first: str) -> bytes:
+        """What a call is told, by its first line: the whole list, or what a watch waited for."""
+        since, wait = re.search(r"since=(\d+)", first), re.search(r"timeout_ms=(\d+)", first)
+        if since is None or wait is None:
+            return self.listing(True, list(self.entries.values()))
+        async with self.changed:
+            return await self.changes_since(int(since[1]), int(wait[1]) / 1000)
+
     async def misbehave(self, writer: asyncio.StreamWriter) -> None:
         if self.fault == "busy":
             writer.write(message(503, b"", "Retry-After: 3600"))
@@ -270,12 +274,7 @@
                 continue
             self.free_at += 1.0 / self.rate  # spent, also where its caller gives it up
             await asyncio.sleep(self.free_at - now)
-            since, wait = re.search(r"since=(\d+)", first), re.search(r"timeout_ms=(\d+)", first)
-            body = self.listing(True, list(self.entries.values()))
-            if since is not None and wait is not None:
-                async with self.changed:
-                    body = await self.changes_since(int(since[1]), int(wait[1]) / 1000)
-            writer.write(message(200, body))
+            writer.write(message(200, await self.answer_to(first)))
 
 
 @pytest.mark.parametrize("fault", ["busy", "silent", "refused"])
