Requests count from their arrival, also after the process was held up

Cause: data_received dated a request by the time of its reading, and may_begin took one that was just read for one whose client is there (active_request.py, DISCONNECT_CHECK_DELAY); HalfClose dated a close likewise. After a hold-up, a pause of reading or a wait in the listen queue all three are late by that time. Change: a timer of the loop notes its turns, which bounds since when unread input may have waited; beyond 0.06 s the kernel is asked how long ago the last bytes came (TCP_INFO), and where it does not tell, or several requests came, the bound counts. With an earlier arrival the existing look at the client's socket comes before the first attempt. The poll for unread bytes, which stood twice, is in sockets/kernel_state.py.

--- a/quota_gateway/dispatch/client_request.py
+++ b/quota_gateway/dispatch/client_request.py
@@ -13,7 +13,7 @@
     """A client's request in the protocol's terms. All times are seconds."""
 
     call_id: bytes
-    received_at: float  # when its last byte was read; for a streamed body, until then, when its head was
+    received_at: float  # when its last byte came; for a streamed body, until then, when its head did
     budget: float  # how long the client waits for its response
     request_class: str
     plan: str
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -10,7 +10,6 @@
     is_request_overdue,
     linger_timeout,
 )
-from quota_gateway.downstream.disconnect_monitor import has_peer_closed
 from quota_gateway.downstream.flow_control import FlowControlledConnection, Listener
 from quota_gateway.downstream.half_close import DispatchingListener, HalfClose
 from quota_gateway.downstream.request_handler import RequestHandler
@@ -18,6 +17,7 @@
 from quota_gateway.downstream.response_queue import FlushResult, ResponseQueue
 from quota_gateway.downstream.response_writer import ResponseWriter
 from quota_gateway.errors import InvalidRequestError
+from quota_gateway.sockets.kernel_state import has_peer_closed
 
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on one connection; further ones stay unread
 PARSE_SIZE = 8192  # bytes parsed at a time, which bounds the requests accepted past the limit above
@@ -38,9 +38,9 @@
 
     listener: RequestListener
 
-    def __init__(self, listener: RequestListener) -> None:
-        """Start without a request."""
-        super().__init__(listener)
+    def __init__(self, listener: RequestListener, waiting_since: float) -> None:
+        """Start without a request; what the client sent may wait in the kernel since `waiting_since`."""
+        super().__init__(listener, waiting_since)
         self.requests = RequestHandler(self, listener.router, self.last_read_at)
         self.responses = ResponseQueue()
         self.idle_since = self.last_read_at  # seconds: when the latest responses were written
@@ -67,6 +67,7 @@
             return
         self.last_read_at = self.listener.clock()
         self.requests.received_at = self.last_read_at
+        self.requests.arrived_at = self.arrival_time(data)
         self.unread = self.unread + data if self.unread else data
         self.process_unread()
 
@@ -153,7 +154,7 @@
         self.ended = True
         if self.closing or not self.responses:
             return False
-        self.half_close.begin()
+        self.half_close.begin(self.earliest_close())
         return True
 
     def handle_disconnect(self, broken: bool) -> None:
@@ -161,7 +162,7 @@
         if broken:
             self.cut_off()
         else:
-            self.half_close.begin()
+            self.half_close.begin(self.listener.loop_monitor.previous_turn_at)
 
     def client_disconnected(self) -> bool:
         """Return True if the client has closed; on a busy core the kernel knows it before the loop."""
--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -8,6 +8,7 @@
 
 from quota_gateway.body_streaming import READ_BUFFER_BYTES
 from quota_gateway.dispatch.dispatcher import RequestDispatcher
+from quota_gateway.downstream.arrival_bound import ArrivalBound, EventLoopMonitor
 from quota_gateway.downstream.client_connection import ClientConnection
 from quota_gateway.downstream.connection_eviction import MAX_EVICTIONS, end_if_unused, evict_unused
 from quota_gateway.downstream.connection_limits import CROWDED_FRACTION, CROWDED_IDLE_TIMEOUT, IDLE_TIMEOUT
@@ -21,6 +22,7 @@
 MIN_CONNECTIONS = 8  # connections that clients may have, however short descriptors are
 MAX_ACCEPTS = 64  # connections accepted at a time, so that open ones are served in between
 FLUSH_POLL_INTERVAL = 0.01  # seconds
+UNKNOWN_TIME = 0.0  # seconds: long before any request
 
 
 class ClientListener:
@@ -50,6 +52,8 @@
         self.accepting: set[asyncio.Task[None]] = set()
         self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
         self.disconnect_monitor = DisconnectMonitor(self.loop)
+        self.loop_monitor = EventLoopMonitor(self.loop, clock)
+        self.queue_bound = ArrivalBound(self.loop_monitor, clock(), clock())  # of the listen queue
         self.listener: socket.socket | None = None
         self.accept_timer: asyncio.TimerHandle | None = None  # while accepting is paused
         self.stopping = False
@@ -72,9 +76,14 @@
             self.drained_since = self.clock()
         self.draining = enabled
 
-    def listen(self, listener: socket.socket) -> None:
-        """Accept the connections of a listening socket, which this object closes."""
+    def listen(self, listener: socket.socket, is_inherited: bool = False) -> None:
+        """Accept the connections of a listening socket, which this object closes.
+
+        In the queue of an inherited one connections may wait since any time.
+        """
         self.listener = listener
+        now = self.clock()
+        self.queue_bound = ArrivalBound(self.loop_monitor, UNKNOWN_TIME if is_inherited else now, now)
         self.loop.add_reader(listener, self.accept)
 
     def set_superseded(self, enabled: bool) -> None:
@@ -83,16 +92,19 @@
         if self.listener is None:
             return
         if enabled:
+            self.queue_bound.leave_unread(self.clock())
             self.loop.remove_reader(self.listener)
             if self.accept_timer is not None:
                 self.accept_timer.cancel()
                 self.accept_timer = None
         else:
+            self.queue_bound.watch(self.clock())
             self.loop.add_reader(self.listener, self.accept)
 
     def accept(self) -> bool:
         """Accept what waits, up to a limit; True if more may wait and there is capacity for it."""
         self.accept_timer = None
+        waiting_since = self.queue_bound.earliest()
         for _ in range(MAX_ACCEPTS):
             if self.listener is None or self.superseded:
                 return False
@@ -102,6 +114,7 @@
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
+                self.queue_bound.mark_empty(self.clock())
                 return False
             except OSError as error:
                 if error.errno in RESOURCE_EXHAUSTION_ERRNOS:
@@ -110,15 +123,16 @@
                     return False
                 continue  # the client has disconnected
             sock.setblocking(False)
-            task = self.loop.create_task(self.open_connection(sock))
+            task = self.loop.create_task(self.open_connection(sock, waiting_since))
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
+        self.queue_bound.leave_unread(self.clock())
         return True
 
-    async def open_connection(self, sock: socket.socket) -> None:
-        """Create the connection of an accepted socket."""
+    async def open_connection(self, sock: socket.socket, waiting_since: float) -> None:
+        """Create the connection of an accepted socket, which may have been queued since `waiting_since`."""
         try:
-            await self.loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+            await self.loop.connect_accepted_socket(lambda: ClientConnection(self, waiting_since), sock)
         except OSError:
             sock.close()
 
@@ -156,6 +170,7 @@
     def pause_accepting(self) -> None:
         """Leave connections in the kernel's queue, where nothing is lost, until there is capacity again."""
         if self.listener is not None and self.accept_timer is None:
+            self.queue_bound.leave_unread(self.clock())
             self.loop.remove_reader(self.listener)
             self.accept_timer = self.loop.call_later(RETRY_DELAY, self.resume_accepting)
 
@@ -163,6 +178,7 @@
         """Accept again after a pause."""
         self.accept_timer = None
         if self.listener is not None:
+            self.queue_bound.watch(self.clock())
             self.loop.add_reader(self.listener, self.accept)
             self.accept()
 
@@ -204,4 +220,5 @@
         self.close_listener()
         for connection in list(self.connections):
             connection.drop()
+        self.loop_monitor.close()
         self.disconnect_monitor.close()
--- a/quota_gateway/downstream/disconnect_monitor.py
+++ b/quota_gateway/downstream/disconnect_monitor.py
@@ -14,20 +14,6 @@
 BROKEN_EVENTS = select.EPOLLHUP | select.EPOLLERR
 
 
-def has_peer_closed(descriptor: int) -> bool:
-    """Return True if the peer has ended its sending, also where the loop has not reported it yet."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
-def has_unread_input(descriptor: int) -> bool:
-    """Return True if the kernel holds bytes of the peer, or its end, that have not been read."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class DisconnectMonitor:
     """An epoll set that the loop watches; each descriptor is reported once.
 
--- a/quota_gateway/downstream/flow_control.py
+++ b/quota_gateway/downstream/flow_control.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from quota_gateway.body_streaming import READ_BUFFER_BYTES
+from quota_gateway.downstream.arrival_bound import ArrivalBound, EventLoopMonitor
 from quota_gateway.downstream.connection_limits import UnreadResponseTimer
-from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor, has_unread_input
+from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
+from quota_gateway.sockets.kernel_state import has_unread_input, seconds_since_last_data
+
+# Seconds up to which input may have waited unread and still counts as having come when it is read. The
+# protocol allows 0.1 for an attempt after its client's close, and 0.15 for the time that an endpoint is told.
+ARRIVAL_TOLERANCE = 0.06
+HEAD_END = b"\r\n\r\n"
 
 
 class Listener(Protocol):
@@ -17,20 +26,24 @@
     clock: Callable[[], float]  # the time in seconds
     read_buffer: bytearray  # what is read is copied out before the next read
     disconnect_monitor: DisconnectMonitor
+    loop_monitor: EventLoopMonitor
 
 
 class FlowControlledConnection(asyncio.BufferedProtocol, ABC):
     """A connection with flow control in both directions, which is closed in an orderly way."""
 
-    def __init__(self, listener: Listener) -> None:
-        """Start without a transport."""
+    def __init__(self, listener: Listener, waiting_since: float) -> None:
+        """Start without a transport; what the client sent may wait in the kernel since `waiting_since`."""
         self.listener = listener
         self.transport: asyncio.Transport | None = None  # set while the connection is open
+        self.socket: socket.socket | None = None
         self.descriptor = -1
         self.unread = b""  # bytes that have been received and not processed
         self.last_read_at = (
             listener.clock()
         )  # seconds: when something was last received, or reading was resumed
+        self.arrival_bound = ArrivalBound(listener.loop_monitor, waiting_since, self.last_read_at)
+        self.last_read_bound = waiting_since  # seconds: the earliest time at which the latest bytes came
         self.unread_response_timer = UnreadResponseTimer()
         self.closing_since = 0.0  # seconds
         self.read_paused = False  # reading is paused
@@ -41,7 +54,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport (asyncio)."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's has the methods, not the base class
-        self.descriptor = self.transport.get_extra_info("socket").fileno()
+        connected = self.transport.get_extra_info("socket")
+        self.socket = connected
+        self.descriptor = connected.fileno()
+        self.arrival_bound.watch(self.listener.clock())
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer to read into (asyncio)."""
@@ -51,6 +67,33 @@
         """Copy out what was read, as the next connection reads into the same buffer (asyncio)."""
         self.data_received(bytes(memoryview(self.listener.read_buffer)[:nbytes]))
 
+    def arrival_time(self, data: bytes) -> float:
+        """Return since when the time of a request counts that ends in `data`, which was read just now.
+
+        It is now, unless the process was held up or reading was paused. Then it is when the kernel received
+        the bytes. Where that can't be known, the earliest time counts: of several requests, or of a kernel
+        that does not tell.
+        """
+        now = self.last_read_at
+        earliest = self.arrival_bound.earliest()
+        self.last_read_bound = earliest
+        if len(data) >= READ_BUFFER_BYTES:
+            self.arrival_bound.leave_unread(now)
+        if now - earliest <= ARRIVAL_TOLERANCE:
+            return now
+        age = None if data.count(HEAD_END) > 1 else self.seconds_since_last_data()
+        return earliest if age is None else max(earliest, now - age)
+
+    def seconds_since_last_data(self) -> float | None:
+        """Return how long ago the client's latest bytes came, None if unknown."""
+        return seconds_since_last_data(self.socket) if self.socket is not None else None
+
+    def earliest_close(self) -> float:
+        """Return the earliest time at which a close may have come that is reported now."""
+        earliest = self.listener.loop_monitor.previous_turn_at
+        # before the latest read it would have come with those bytes, and is reported behind them
+        return earliest if earliest >= self.last_read_at else min(earliest, self.last_read_bound)
+
     @abstractmethod
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
@@ -63,6 +106,7 @@
         """Leave what the client sends in the kernel, and watch for its disconnect instead."""
         if not self.read_paused and self.transport is not None:
             self.read_paused = True
+            self.arrival_bound.leave_unread(self.listener.clock())
             self.transport.pause_reading()
             self.listener.disconnect_monitor.watch(self.descriptor, self.handle_disconnect)
 
@@ -70,6 +114,7 @@
         """Read again, if reading is paused."""
         if self.read_paused and self.transport is not None:
             self.read_paused = False
+            self.arrival_bound.watch(self.listener.clock())
             self.listener.disconnect_monitor.unwatch(self.descriptor, self.handle_disconnect)
             self.transport.resume_reading()
 
--- a/quota_gateway/downstream/half_close.py
+++ b/quota_gateway/downstream/half_close.py
@@ -13,10 +13,10 @@
 from quota_gateway.dispatch.dispatcher import RequestDispatcher
 from quota_gateway.downstream.response_queue import ResponseQueue
 
-GRACE_PERIOD = (
-    0.03  # seconds in which an attempt may still begin: a client that reads is served if no connect
-)
-# takes longer; the protocol allows 0.1 s, which must do on a busy core too
+# Seconds in which an attempt may still begin: a client that reads is served if no connect takes longer.
+GRACE_PERIOD = 0.03
+# Seconds after the client's close in which an attempt may begin. The protocol allows 0.1.
+MAX_START_DELAY = 0.08
 
 
 class DispatchingListener(Protocol):
@@ -39,15 +39,20 @@
         self.begun = False
         self.timer: asyncio.TimerHandle | None = None
 
-    def begin(self) -> None:
-        """Limit the start of attempts to the grace period, for all unanswered requests."""
+    def begin(self, earliest_close: float) -> None:
+        """Limit the start of attempts to the grace period, for all unanswered requests.
+
+        The client may have closed at `earliest_close` already, in seconds: the grace period ends in time for
+        that.
+        """
         if self.begun:
             return
         self.begun = True
-        limit = self.listener.clock() + GRACE_PERIOD
+        now = self.listener.clock()
+        grace_period = min(GRACE_PERIOD, max(earliest_close + MAX_START_DELAY - now, 0.0))
         for request_id in self.responses.unanswered():
-            self.listener.dispatcher.limit_attempt_start(request_id, limit)
-        self.timer = self.listener.loop.call_later(GRACE_PERIOD, self.end_grace_period)
+            self.listener.dispatcher.limit_attempt_start(request_id, now + grace_period)
+        self.timer = self.listener.loop.call_later(grace_period, self.end_grace_period)
 
     def end_grace_period(self) -> None:
         """Have no further attempts started for the requests that are still unanswered."""
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -142,7 +142,7 @@
         if writer.unsent is None:  # with an early response the connection closes
             writer.keep_alive = not connection.ended and self.should_keep_alive()
             connection.ended = connection.ended or not writer.keep_alive
-        self.router.dispatcher.request_body_received(writer.request_id, self.received_at)
+        self.router.dispatcher.request_body_received(writer.request_id, self.arrived_at)
 
     def reject(
         self, connection: RequestConnection, writer: ResponseWriter, error: InvalidRequestError
--- a/quota_gateway/downstream/request_parser.py
+++ b/quota_gateway/downstream/request_parser.py
@@ -124,7 +124,7 @@
         head.append(b"")
         return ClientRequest(
             call_id=call_id,
-            received_at=reader.received_at,
+            received_at=reader.arrived_at,
             budget=budget,
             request_class=request_class.name,
             plan=plan,
--- a/quota_gateway/downstream/request_reader.py
+++ b/quota_gateway/downstream/request_reader.py
@@ -40,7 +40,8 @@
         """Start between two requests; `now` is the time of the connection's start in seconds."""
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.parsing = False  # the parser is on the call stack and must not be entered again
-        self.received_at = 0.0  # seconds: when the latest bytes were received; 0 before the first
+        self.received_at = 0.0  # seconds: when the latest bytes were read; 0 before the first
+        self.arrived_at = 0.0  # seconds: when the kernel received them, at the earliest if that is not known
         self.request_started_at = now
         self.body_started_at = now
         self.any_request_started = False
--- a/quota_gateway/gateway_process.py
+++ b/quota_gateway/gateway_process.py
@@ -184,7 +184,7 @@
             await restoring
         self.endpoint_list_settled = True
         if self.listen_descriptor is not None:  # until now an older process accepts what is in the queue
-            self.listener.listen(inherit(self.listen_descriptor))
+            self.listener.listen(inherit(self.listen_descriptor), is_inherited=True)
         if self.hot_restart is not None:
             self.hot_restart.announce_serving()
 
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from typing import Protocol, cast
 
 from quota_gateway.body_streaming import RequestBodyStream, ResponseHead, StreamSink
 from quota_gateway.model.outcomes import Outcome
+from quota_gateway.sockets.kernel_state import has_unread_input
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
 from quota_gateway.upstream.endpoint_connections import EndpointConnections
 from quota_gateway.upstream.idle_timeout import AdaptiveIdleTimeout
@@ -62,9 +62,7 @@
 
     def has_unread_input(self) -> bool:
         """Return whether bytes, which the next response would be mistaken for, or a close wait to be read."""
-        poll = select.poll()
-        poll.register(self._descriptor, select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_input(self._descriptor)
 
     def close(self) -> None:
         """Close the connection at once; `connection_lost` follows in a later turn of the loop."""
--- a/tests/test_no_attempt_after_disconnect.py
+++ b/tests/test_no_attempt_after_disconnect.py
@@ -291,11 +291,11 @@
             virtual_clock_loop().now += EVENT_COST
         handle(dispatcher, event, due)
 
-    def begin_slowly(half_close: HalfClose) -> None:
+    def begin_slowly(half_close: HalfClose, earliest_close: float) -> None:
         if busy:
             virtual_clock_loop().now += EVENT_COST
         detected_at.append(virtual_clock_loop().now)
-        begin_grace_period(half_close)
+        begin_grace_period(half_close, earliest_close)
 
     monkeypatch.setattr(RequestDispatcher, "handle", handle_slowly)
     monkeypatch.setattr(HalfClose, "begin", begin_slowly)
