Slow start counts from when the list first named a start, not from its wall clock alone

Cause: SlowStart took the age of an endpoint from its startedAtMs (slow_start.py, factor and is_warming_up), which is another machine's wall clock against this process's, set at its start. Change: policy/start_times.py bounds it. A start that is said to be later than now, or earlier than discovery's last answer that did not name it, counts from when it was first named; one that was named before keeps its time. EndpointState has that time, the list's own stays what tells one start from another. Seen on the way: a restored state replaced a later return from maintenance by an earlier one (restore_state); the later one counts.

--- a/quota_gateway/engine/state_snapshot.py
+++ b/quota_gateway/engine/state_snapshot.py
@@ -39,7 +39,13 @@
     """Return the state in plain values, as it is sent to the next process."""
     limiters = [list(_saved_limiter(limiter)) for limiter in engine.limiters.limiters.values()]
     endpoints = [
-        [state.id, state.endpoint.started_at, state.concurrency_limit, state.failure_score, state.decayed_at]
+        [
+            state.id,
+            engine.registry.saved_start(state),
+            state.concurrency_limit,
+            state.failure_score,
+            state.decayed_at,
+        ]
         for state in engine.registry.endpoints.values()
     ]
     return StateSnapshot(
@@ -114,7 +120,7 @@
     engine.context.started_at = min(engine.context.started_at, saved.started_at)
     _restore_figures(engine, saved)
     engine.registry.under_maintenance.update(saved.under_maintenance)
-    engine.registry.returned_at.update(saved.returned_at)
+    engine.registry.merge_returns(saved.returned_at)
     for endpoint in saved.endpoints:
         engine.registry.restore(endpoint)
     for limiter in saved.limiters:
--- a/quota_gateway/model/endpoints.py
+++ b/quota_gateway/model/endpoints.py
@@ -33,4 +33,4 @@
     cell: int
     status: EndpointStatus
     weight: float  # its capacity, relative to that of other endpoints
-    started_at: float | None  # Unix time in seconds; None where it is not known
+    started_at: float | None  # Unix time in seconds, by the endpoint's clock; None where it is not known
--- a/quota_gateway/policy/endpoint_registry.py
+++ b/quota_gateway/policy/endpoint_registry.py
@@ -1,13 +1,14 @@
 """The endpoints that the list names, operators' maintenance of them, and this gateway's subset."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from quota_gateway.model.actions import CloseIdleConnections, PollEndpoints
 from quota_gateway.model.endpoints import Endpoint, EndpointListKind, EndpointStatus
 from quota_gateway.model.events import EndpointListUpdate, SetMaintenance
 from quota_gateway.model.timers import PollEndpointsTimer
 from quota_gateway.policy.outlier_detection import is_outlier
+from quota_gateway.policy.start_times import StartTimes
 from quota_gateway.policy.subsetting import SubsetRing
 from quota_gateway.policy.token_bucket import EPSILON
 from quota_gateway.state.context import EngineContext
@@ -31,6 +32,7 @@
     under_maintenance: set[str] = field(default_factory=set)  # by operators, independent of the list
     ring: SubsetRing = field(default_factory=lambda: SubsetRing((), 0, 1))
     returned_at: dict[str, float] = field(default_factory=dict)  # when operators ended a maintenance
+    start_times: StartTimes = field(default_factory=StartTimes)
 
     def apply(self, update: EndpointListUpdate) -> None:
         """Apply an update; after a failed poll the list stays as it is, and is polled again soon."""
@@ -43,16 +45,18 @@
             named = {endpoint.endpoint_id for endpoint in update.endpoints}
             self.endpoints = {key: state for key, state in self.endpoints.items() if key in named}
         for endpoint in update.endpoints:
-            self._apply_endpoint(self.as_returned(endpoint))
+            self._apply_endpoint(endpoint)
         self.refresh_serving()
-        if update.kind is EndpointListKind.CACHED and not context.settings.endpoint_list_pushed:
+        if update.kind is not EndpointListKind.CACHED:
+            self.start_times.list_answered(context.now)
+        elif not context.settings.endpoint_list_pushed:
             context.emit(PollEndpoints())
 
     def _apply_endpoint(self, endpoint: Endpoint) -> None:
         state = self.endpoints.get(endpoint.endpoint_id)
         if endpoint.status is EndpointStatus.REMOVED:
             self.endpoints.pop(endpoint.endpoint_id, None)
-        elif state is None or state.endpoint.started_at != endpoint.started_at:
+        elif state is None or state.started_at != self._started_at(endpoint):
             self._add(endpoint)
         else:
             state.endpoint = endpoint
@@ -60,8 +64,18 @@
     def _add(self, endpoint: Endpoint) -> None:
         limit = max(1.0, FLEET_START_LIMIT / self.context.settings.gateway_count)
         state = EndpointState(endpoint, limit, self.context.now, max(1.0, limit * START_TO_MINIMUM))
+        state.started_at = self._started_at(endpoint)
         self.endpoints[endpoint.endpoint_id] = state
 
+    def _started_at(self, endpoint: Endpoint) -> float | None:
+        """Return when an endpoint started or returned from maintenance, by this gateway's clock."""
+        key = endpoint.endpoint_id
+        started_at = self.start_times.observe(key, endpoint.started_at, self.context.now)
+        returned_at = self.returned_at.get(key)
+        if returned_at is None or (started_at is not None and started_at > returned_at):
+            return started_at
+        return returned_at
+
     def set_maintenance(self, event: SetMaintenance) -> None:
         """Start or end maintenance, which no list ends; an endpoint that returns from it is warming up."""
         key = event.endpoint_id
@@ -72,26 +86,29 @@
             self.under_maintenance.discard(key)
             self.returned_at[key] = self.context.now
             if key in self.endpoints:
-                self._add(self.as_returned(self.endpoints[key].endpoint))
+                self._add(self.endpoints[key].endpoint)
         self.refresh_serving()
 
+    def merge_returns(self, returned_at: dict[str, float]) -> None:
+        """Add another process's ends of maintenance; of two the later one counts."""
+        for key, time in returned_at.items():
+            self.returned_at[key] = max(time, self.returned_at.get(key, time))
+
     def restore(self, saved: SavedEndpoint) -> None:
         """Restore what the previous process learned of an endpoint since its start."""
         state = self.endpoints.get(saved.endpoint_id)
         if state is None:
             return
-        state.endpoint = self.as_returned(state.endpoint)  # the list does not know of its return
-        if state.endpoint.started_at == saved.started_at:
+        state.started_at = self._started_at(state.endpoint)  # the list does not know of its return
+        if saved.started_at == self.saved_start(state):
             state.concurrency_limit = saved.concurrency_limit
             state.failure_score = saved.failure_score
             state.decayed_at = saved.decayed_at
 
-    def as_returned(self, endpoint: Endpoint) -> Endpoint:
-        """Return the endpoint with its return from maintenance as its start, unless a later one is listed."""
-        returned_at = self.returned_at.get(endpoint.endpoint_id, 0.0)
-        if returned_at > (endpoint.started_at or 0.0):
-            return replace(endpoint, started_at=returned_at)
-        return endpoint
+    def saved_start(self, state: EndpointState) -> float | None:
+        """Return what tells an endpoint's start in the saved state: its return, or its start as listed."""
+        returned_at = self.returned_at.get(state.id)
+        return returned_at if returned_at == state.started_at else state.endpoint.started_at
 
     def refresh_serving(self) -> None:
         """Recompute which endpoints serve, and this gateway's subset of them."""
--- a/quota_gateway/policy/slow_start.py
+++ b/quota_gateway/policy/slow_start.py
@@ -26,7 +26,7 @@
     def factor(self, endpoint: EndpointState) -> float:
         """Return the least fraction of its capacity that an endpoint has by now; 1 once it is warm."""
         settings = self.context.settings
-        started_at = endpoint.endpoint.started_at
+        started_at = endpoint.started_at
         age = settings.slow_start_window if started_at is None else max(0.0, self.context.now - started_at)
         if age >= settings.slow_start_window:
             return 1.0
@@ -35,7 +35,7 @@
 
     def is_warming_up(self, endpoint: EndpointState) -> bool:
         """Return whether the endpoint may have less than its full capacity."""
-        started_at = endpoint.endpoint.started_at
+        started_at = endpoint.started_at
         if started_at is None or self.context.now - started_at >= self.context.settings.slow_start_window:
             return False
         return self.factor(endpoint) < 1.0
--- a/quota_gateway/state/records.py
+++ b/quota_gateway/state/records.py
@@ -23,6 +23,7 @@
     late_in_flight: int = 0  # of these, attempts that are late already
     failure_score: float = 0.0  # doubles and grows by one with each failure, halves with time and success
     last_used_at: float = 0.0
+    started_at: float | None = None  # from when its slow start counts, by this gateway's clock
     # by request class and plan: until when the endpoint is expected to reject these
     rejecting_until: dict[tuple[str, str], float] = field(default_factory=dict)
     id: str = field(init=False)  # the endpoint's id in the list
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -93,6 +93,15 @@
     assert new.slow_start.factor(new.endpoints["b"]) < 0.5
 
 
+def test_the_later_of_two_returns_from_maintenance_counts_after_a_restore() -> None:
+    old, new = make_engine(), make_engine()
+    for engine, returned_at in ((old, 100.0), (new, 104.0)):
+        engine.handle(SetMaintenance("b", True), 100.0)
+        engine.handle(SetMaintenance("b", False), returned_at)
+    new.handle(transferred_state(old), 105.0)
+    assert new.endpoints["b"].started_at == 104.0
+
+
 class ProcessGroup:
     """Processes of one gateway at one listening socket, as the platform starts them."""
 
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -73,3 +73,13 @@
     assert engine.slow_start.factor(engine.endpoints["old"]) == pytest.approx(middle)
     engine.context.now = NOW + WINDOW + 0.01
     assert engine.slow_start.factor(engine.endpoints["ahead"]) == 1.0
+
+
+def test_a_start_that_was_listed_before_is_not_a_new_one() -> None:
+    engine = engine_with_list()
+    cold = make_endpoint("c", started_at=NOW - 0.1 - HOUR)
+    engine.handle(endpoint_list_update(cold, kind=EndpointListKind.DELTA), NOW)
+    engine.handle(endpoint_list_update(WARM), NOW + 3.0)  # a full list without it
+    engine.handle(endpoint_list_update(WARM, cold), NOW + 4.0)
+    expected = SETTINGS.slow_start_minimum + (1 - SETTINGS.slow_start_minimum) * 4.0 / WINDOW
+    assert engine.slow_start.factor(engine.endpoints["c"]) == pytest.approx(expected)
