--- /dev/null
+++ b/tests/test_hot_restart_clock.py
@@ -0,0 +1,85 @@
+"""A hot restart across a step of the wall clock: the state carries times of the older process's clock."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from quota_gateway.engine.policy_engine import PolicyEngine
+from quota_gateway.model.actions import CloseIdleConnections, IncrementCounter, StartAttempt
+from quota_gateway.model.events import SetMaintenance, StateSnapshot
+from tests.policy_harness import CAPPED_PLAN, SETTINGS, make_engine, make_request
+
+HOUR = 3600.0
+NOW = 100_000.0  # seconds, on the clock of the older process
+
+
+def state_of(engine: PolicyEngine, by_older_version: bool) -> StateSnapshot:
+    """Return the state as another process receives it; older versions don't tell their clock's time."""
+    state: dict[str, Any] = json.loads(json.dumps(engine.snapshot().state))
+    if by_older_version:
+        state.pop("now", None)
+    return StateSnapshot(state)
+
+
+def spend(engine: PolicyEngine, plan: str, now: float, requests: int) -> int:
+    """Return how many requests of one unit are forwarded at once."""
+    actions = [
+        action
+        for number in range(requests)
+        for action in engine.handle(
+            make_request(1000 * int(now) + number, plan=plan, deadline=now + 4.0), now
+        )
+    ]
+    return sum(isinstance(action, StartAttempt) for action in actions)
+
+
+@pytest.mark.parametrize("by_older_version", [False, True])
+@pytest.mark.parametrize("step", [-HOUR, -3.0, 3.0, HOUR])
+@pytest.mark.parametrize("plan", ["small", "capped"])
+def test_quotas_go_on_over_a_hot_restart_across_a_step(
+    plan: str, step: float, by_older_version: bool
+) -> None:
+    def restarted(step: float) -> tuple[int, int, int]:
+        old = make_engine(now=NOW)
+        spent = spend(old, plan, NOW + 5.0, 30)
+        new = make_engine(now=NOW + 5.0 + step)
+        new.handle(state_of(old, by_older_version), NOW + 5.0 + step)
+        return spent, spend(new, plan, NOW + 5.0 + step, 30), spend(new, plan, NOW + 7.0 + step, 30)
+
+    assert restarted(step) == restarted(0.0)
+
+
+@pytest.mark.parametrize("by_older_version", [False, True])
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_other_times_of_the_state_are_moved_with_the_clock(step: float, by_older_version: bool) -> None:
+    old = make_engine(now=NOW)
+    spend(old, "small", NOW, 8)
+    old.handle(SetMaintenance("b", True), NOW)
+    assert old.handle(SetMaintenance("b", False), NOW) != [CloseIdleConnections("b")]
+    old.counter.paused_until = NOW + 2.0
+    old.endpoints["a"].failure_score = 4.0
+    new = make_engine(now=NOW + step)
+    new.handle(state_of(old, by_older_version), NOW + step)
+    assert new.slow_start.factor(new.endpoints["b"]) == pytest.approx(SETTINGS.slow_start_minimum)
+    assert new.counter.paused_until == pytest.approx(NOW + step + 2.0)
+    assert new.endpoints["a"].decayed_at == pytest.approx(NOW + step)
+    assert new.context.started_at <= NOW + step
+    (limiter,) = new.limiters.limiters.values()
+    assert limiter.updated_at == pytest.approx(NOW + step)
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_the_counters_names_go_on_over_a_hot_restart_across_a_step(step: float) -> None:
+    settings: dict[str, Any] = {"gateway_count": 20, "plans": (replace(CAPPED_PLAN, name="small"),)}
+    old, new = make_engine(now=NOW, **settings), make_engine(now=NOW + step, **settings)
+    new.handle(state_of(old, False), NOW + step)
+
+    def counted_name(engine: PolicyEngine, now: float) -> str:
+        actions = engine.handle(make_request(1, quota_spread=20, deadline=now + 4.0), now)
+        return next(action.name for action in actions if isinstance(action, IncrementCounter))
+
+    assert counted_name(new, NOW + step) == counted_name(old, NOW)
