The state of a hot restart is moved to the newer process's clock

Cause: the state carries times by the older process's clock, and restore_state took them for its own. Each process sets its clock by the wall clock at its start, so a step in between is in all of them. Change: the state tells its time, its quota time and when starts count from, in keys behind the old ones; the newer process moves all times by the difference. Of a state without them, an older version's, the newest time is taken for its saving. Names at the counter go on by the older process's clock (EngineContext.quota_time), so that a gateway counts under the names of the others after a hot restart; after a cold one it can't know theirs. Listed as known: refill takes units away for a time ahead of now, which no state brings about any more.

--- a/quota_gateway/dispatch/dispatcher.py
+++ b/quota_gateway/dispatch/dispatcher.py
@@ -192,7 +192,7 @@
 
     def state_snapshot(self) -> StateSnapshot:
         """Return the engine's state for the process that takes over."""
-        return self.engine.snapshot()
+        return self.engine.snapshot(self.clock())
 
     def gauges(self) -> dict[str, int]:
         """Return the metrics that are read from current state, by name."""
--- a/quota_gateway/engine/policy_engine.py
+++ b/quota_gateway/engine/policy_engine.py
@@ -177,9 +177,9 @@
         if self.draining:
             self.context.emit(actions.DrainClientConnections(True))
 
-    def snapshot(self) -> events.StateSnapshot:
-        """Return the state for the next process of this gateway."""
-        return save_state(self)
+    def snapshot(self, now: float) -> events.StateSnapshot:
+        """Return the state for the next process of this gateway; `now` is in seconds."""
+        return save_state(self, max(now, self.context.now))
 
     def knows_endpoint(self, endpoint_id: str) -> bool:
         """Return whether the endpoint is listed or under maintenance."""
--- a/quota_gateway/engine/state_snapshot.py
+++ b/quota_gateway/engine/state_snapshot.py
@@ -15,10 +15,21 @@
 from quota_gateway.policy.latency_estimates import LatencyEstimates
 from quota_gateway.policy.quota_sync import CounterHealth
 from quota_gateway.policy.retries import RetryBudget
+from quota_gateway.policy.start_times import KnownStart
 from quota_gateway.state.context import EngineContext
 from quota_gateway.state.limiter_registry import LimiterRegistry
 from quota_gateway.state.records import Limiter
-from quota_gateway.state.saved_state import SavedEndpoint, SavedLimiter, SavedState
+from quota_gateway.state.saved_state import (
+    SavedEndpoint,
+    SavedLimiter,
+    SavedStart,
+    SavedState,
+    newest_time,
+)
+
+UNKNOWN_TIME = 0.0  # seconds: the saving of a state whose process did not tell its clock's time
+# Seconds of difference between the clocks of two processes from which one was stepped: less is the transfer.
+MIN_CLOCK_STEP = 1.0
 
 
 class Mechanisms(Protocol):
@@ -35,24 +46,14 @@
     draining: bool
 
 
-def save_state(engine: Mechanisms) -> StateSnapshot:
-    """Return the state in plain values, as it is sent to the next process."""
+def save_state(engine: Mechanisms, now: float) -> StateSnapshot:
+    """Return the state in plain values, as it is sent to the next process at `now`."""
     limiters = [list(_saved_limiter(limiter)) for limiter in engine.limiters.limiters.values()]
-    endpoints = [
-        [
-            state.id,
-            engine.registry.saved_start(state),
-            state.concurrency_limit,
-            state.failure_score,
-            state.decayed_at,
-        ]
-        for state in engine.registry.endpoints.values()
-    ]
     return StateSnapshot(
         {
             "born": engine.context.started_at,
             "throttles": limiters,
-            "servers": endpoints,
+            "servers": _endpoint_rows(engine.registry),
             "banned": sorted(engine.registry.under_maintenance),
             "returned": engine.registry.returned_at,
             "kinds": engine.latency.machine_type_factors,
@@ -68,10 +69,35 @@
             "shortest": engine.counter.fastest_reply,
             "counted_part": engine.counter.sampling_ratio,
             "draining": engine.draining,
+            # from here on not in every version
+            "now": now,
+            "quota_time": now + engine.context.quota_time_offset,
+            "starts": _start_rows(engine.registry),
         }
     )
 
 
+def _endpoint_rows(registry: EndpointRegistry) -> list[list[object]]:
+    return [
+        [
+            state.id,
+            registry.saved_start(state),
+            state.concurrency_limit,
+            state.failure_score,
+            state.decayed_at,
+        ]
+        for state in registry.endpoints.values()
+    ]
+
+
+def _start_rows(registry: EndpointRegistry) -> list[list[object]]:
+    return [
+        [key, start.listed_at, start.counts_from]
+        for key, start in registry.start_times.known.items()
+        if key in registry.endpoints
+    ]
+
+
 def _saved_limiter(limiter: Limiter) -> SavedLimiter:
     return SavedLimiter(
         limiter.customer,
@@ -93,7 +119,10 @@
 
 def load_state(state: dict[str, Any]) -> SavedState:
     """Return the state that another process saved; KeyError, TypeError or ValueError if it is malformed."""
-    return SavedState(
+    saved = SavedState(
+        saved_at=state.get("now", UNKNOWN_TIME),
+        quota_time=state.get("quota_time"),
+        starts=[SavedStart(*row) for row in state.get("starts", ())],
         started_at=state["born"],
         limiters=[SavedLimiter(*row) for row in state["throttles"]],
         endpoints=[SavedEndpoint(*row) for row in state["servers"]],
@@ -113,13 +142,24 @@
         sampling_ratio=state["counted_part"],
         draining=state["draining"],
     )
+    return saved._replace(saved_at=newest_time(saved)) if saved.saved_at == UNKNOWN_TIME else saved
 
 
 def restore_state(engine: Mechanisms, saved: SavedState) -> None:
-    """Merge the state into that of this process, except whether the gateway is draining."""
+    """Merge the state into that of this process, except whether the gateway is draining.
+
+    The state is of just now: its times are moved from the other process's clock to this one's.
+    """
+    clock_difference = engine.context.now - saved.saved_at
+    if saved.quota_time is not None:
+        _restore_quota_time(engine.context, saved.quota_time, saved.saved_at)
+    saved = saved.moved_by(clock_difference)
     engine.context.started_at = min(engine.context.started_at, saved.started_at)
     _restore_figures(engine, saved)
     engine.registry.under_maintenance.update(saved.under_maintenance)
+    for start in saved.starts:
+        known = KnownStart(start.listed_at, start.counts_from)
+        engine.registry.start_times.merge(start.endpoint_id, known)
     engine.registry.merge_returns(saved.returned_at)
     for endpoint in saved.endpoints:
         engine.registry.restore(endpoint)
@@ -129,6 +169,12 @@
     engine.registry.refresh_serving()
 
 
+def _restore_quota_time(context: EngineContext, quota_time: float, saved_at: float) -> None:
+    """Count quotas by the other process's clock, as the gateways do that were not restarted."""
+    was_stepped = abs(context.now - saved_at) >= MIN_CLOCK_STEP
+    context.quota_time_offset = quota_time - (context.now if was_stepped else saved_at)
+
+
 def _restore_figures(engine: Mechanisms, saved: SavedState) -> None:
     engine.admission.fleet_failure_rate = saved.fleet_failure_rate
     engine.admission.admit_ratio = saved.admit_ratio
--- a/quota_gateway/policy/fine_grained_quota.py
+++ b/quota_gateway/policy/fine_grained_quota.py
@@ -74,7 +74,7 @@
         return granted + (1.0 - granted) * (plan.over_quota_value - plan.over_quota_cost) >= 0
 
     def _call_counter(self, limiter: Limiter, requested_units: float, correction: float = 0.0) -> None:
-        name = f"{limiter.customer}.{int(self.context.now // EPOCH)}"
+        name = f"{limiter.customer}.{int(self.context.quota_time // EPOCH)}"
         amount = limiter.unreported_units + requested_units
         limiter.counter_calls.append(CounterCall(name, requested_units, amount))
         self.context.emit(IncrementCounter(name, amount + correction, EPOCH))
@@ -121,7 +121,8 @@
         """Set the balance by the units forwarded since the name's start."""
         now = self.context.now
         burst = limiter.plan.burst
-        unused = limiter.plan.rate * (now % EPOCH) - total  # if there were no limit on the burst
+        # what the quota has earned, if there were no limit on the burst
+        unused = limiter.plan.rate * (self.context.quota_time % EPOCH) - total
         self._correct_total(limiter, call, total, unused)
         limiter.set_quota_fraction(1.0, now)
         balance = burst + unused + call.requested_units
--- a/quota_gateway/policy/quota_sync.py
+++ b/quota_gateway/policy/quota_sync.py
@@ -73,15 +73,15 @@
         if not self.context.settings.counter_enabled or limiter.report_scheduled or not shared:
             return
         limiter.report_scheduled = True
-        now = self.context.now
+        quota_time = self.context.quota_time
         slot = (zlib.crc32(limiter.customer.encode()) % REPORT_SLOTS) / REPORT_SLOTS_PER_PERIOD
-        due = (now // PERIOD + 1 + slot) * PERIOD
-        self.context.set_timer(max(due - now, 1e-6), ReportDemandTimer(limiter.customer))
+        due = (quota_time // PERIOD + 1 + slot) * PERIOD
+        self.context.set_timer(max(due - quota_time, 1e-6), ReportDemandTimer(limiter.customer))
 
     def report_demand(self, limiter: Limiter) -> None:
         """Report the last period's demand, unless the customer is far from its quota."""
         now = self.context.now
-        limiter.record_demand(0.0, now)
+        limiter.record_demand(0.0, self.context.quota_time)
         period = limiter.demand_period - 1
         demand = limiter.previous_demand
         limiter.local_demand += DEMAND_WEIGHT * (demand / PERIOD - limiter.local_demand)
--- a/quota_gateway/policy/request_lifecycle.py
+++ b/quota_gateway/policy/request_lifecycle.py
@@ -39,7 +39,7 @@
             return
         limiter = self.limiters.get(event.customer, event.quota_spread, plan)
         limiter.refill(now)
-        limiter.record_demand(event.units, now)
+        limiter.record_demand(event.units, self.context.quota_time)
         first_sent_at = now - self.latency.retry_age(event, request_class)
         request = PendingRequest(event, request_class, limiter, now, first_sent_at, now)
         self.queue.forwarder.requests[request.id] = request
--- a/quota_gateway/policy/start_times.py
+++ b/quota_gateway/policy/start_times.py
@@ -34,13 +34,18 @@
         counts_from = listed_at
         if listed_at is not None and not self.confirmed_at <= listed_at <= now:
             counts_from = now
-        self.remember(endpoint_id, listed_at, counts_from)
+        self._remember(endpoint_id, KnownStart(listed_at, counts_from))
         return counts_from
 
-    def remember(self, endpoint_id: str, listed_at: float | None, counts_from: float | None) -> None:
-        """Keep what is known of an endpoint's start."""
+    def merge(self, endpoint_id: str, start: KnownStart) -> None:
+        """Take over what an older process of this gateway knows: it had lists from before this start."""
+        known = self.known.get(endpoint_id)
+        if known is None or known.listed_at == start.listed_at:
+            self._remember(endpoint_id, start)
+
+    def _remember(self, endpoint_id: str, start: KnownStart) -> None:
         self.known.pop(endpoint_id, None)
-        self.known[endpoint_id] = KnownStart(listed_at, counts_from)
+        self.known[endpoint_id] = start
         if len(self.known) > MAX_KNOWN_STARTS:
             del self.known[next(iter(self.known))]
 
--- a/quota_gateway/state/context.py
+++ b/quota_gateway/state/context.py
@@ -19,6 +19,9 @@
     started_at: float
     now: float
     actions: list[Action] = field(default_factory=list)
+    # Seconds from `now` to the time by which quotas are counted: not 0 after a hot restart for which the wall
+    # clock was stepped.
+    quota_time_offset: float = 0.0
     plans: dict[str, Plan] = field(init=False)
     request_classes: dict[str, RequestClass] = field(init=False)
 
@@ -27,6 +30,11 @@
         self.plans = {plan.name: plan for plan in self.settings.plans}
         self.request_classes = {each.name: each for each in self.settings.request_classes}
 
+    @property
+    def quota_time(self) -> float:
+        """The time in seconds that the names of counts are made of: all gateways should agree on it."""
+        return self.now + self.quota_time_offset
+
     def emit(self, action: Action) -> None:
         """Append an action to those of the current event."""
         self.actions.append(action)
--- a/quota_gateway/state/limiter_registry.py
+++ b/quota_gateway/state/limiter_registry.py
@@ -43,7 +43,8 @@
     def _evict_or_keep(self, customer: str) -> None:
         limiter = self.limiters[customer]
         now = self.context.now
-        unused = limiter.reading_valid_until < now and limiter.demand_period < now // PERIOD
+        period = self.context.quota_time // PERIOD
+        unused = limiter.reading_valid_until < now and limiter.demand_period < period
         if unused and limiter.is_idle(now):
             del self.limiters[customer]
         else:
--- a/quota_gateway/state/limiter_state.py
+++ b/quota_gateway/state/limiter_state.py
@@ -66,9 +66,9 @@
         self.unreported_units = 0.0  # below 0: too many were reported
         self.counter_calls: deque[CounterCall] = deque()
 
-    def record_demand(self, units: float, now: float) -> None:
+    def record_demand(self, units: float, quota_time: float) -> None:
         """Count units that a client asked for in the present period."""
-        period = int(now // PERIOD)
+        period = int(quota_time // PERIOD)
         if period != self.demand_period:
             self.previous_demand = self.current_demand if period == self.demand_period + 1 else 0.0
             self.demand_period = period
--- a/quota_gateway/state/saved_state.py
+++ b/quota_gateway/state/saved_state.py
@@ -1,4 +1,8 @@
-"""The state that one process of a gateway saves for the next in a hot restart; times are seconds."""
+"""The state that one process of a gateway saves for the next in a hot restart; times are seconds.
+
+They are times of the older process's clock. The newer one's may be ahead or behind: each is set by the wall
+clock at its process's start, which may have been stepped since.
+"""
 
 from __future__ import annotations
 
@@ -34,9 +38,20 @@
     decayed_at: float
 
 
+class SavedStart(NamedTuple):
+    """A start of an endpoint as the list named it, and the time that it counts from."""
+
+    endpoint_id: str
+    listed_at: float | None
+    counts_from: float | None
+
+
 class SavedState(NamedTuple):
     """The whole saved state."""
 
+    saved_at: float
+    quota_time: float | None  # by which quotas are counted; None: an older version did not save it
+    starts: list[SavedStart]
     started_at: float
     limiters: list[SavedLimiter]
     endpoints: list[SavedEndpoint]
@@ -55,3 +70,48 @@
     fastest_reply: float
     sampling_ratio: float
     draining: bool
+
+    def moved_by(self, seconds: float) -> SavedState:
+        """Return the state with its times so much later: on the clock of the process that restores it."""
+        returned_at = {key: time + seconds for key, time in self.returned_at.items()}
+        return self._replace(
+            saved_at=self.saved_at + seconds,
+            starts=[_moved_start(start, seconds) for start in self.starts],
+            started_at=self.started_at + seconds,
+            limiters=[_moved_limiter(limiter, seconds) for limiter in self.limiters],
+            endpoints=[self._moved_endpoint(endpoint, seconds) for endpoint in self.endpoints],
+            returned_at=returned_at,
+            counter_paused_until=self.counter_paused_until + seconds,
+        )
+
+    def _moved_endpoint(self, endpoint: SavedEndpoint, seconds: float) -> SavedEndpoint:
+        """Move an endpoint's times; a start that the list named is none of this gateway's clock."""
+        started_at = endpoint.started_at
+        if started_at is not None and started_at == self.returned_at.get(endpoint.endpoint_id):
+            started_at += seconds
+        return endpoint._replace(started_at=started_at, decayed_at=endpoint.decayed_at + seconds)
+
+
+def _moved_start(start: SavedStart, seconds: float) -> SavedStart:
+    if start.counts_from is None:
+        return start
+    return start._replace(counts_from=start.counts_from + seconds)
+
+
+def _moved_limiter(limiter: SavedLimiter, seconds: float) -> SavedLimiter:
+    return limiter._replace(
+        updated_at=limiter.updated_at + seconds,
+        reading_valid_until=limiter.reading_valid_until + seconds,
+        reading_fresh_until=limiter.reading_fresh_until + seconds,
+    )
+
+
+def newest_time(state: SavedState) -> float:
+    """Return the latest time at which something in the state happened.
+
+    Nothing in it is later than its saving, which versions that don't save their clock leave open.
+    """
+    times = [state.started_at, *state.returned_at.values()]
+    times += [limiter.updated_at for limiter in state.limiters]
+    times += [endpoint.decayed_at for endpoint in state.endpoints]
+    return max(times)
