A refill never takes units away

Cause: refill multiplied the hard limit's rate with a negative time where updated_at was ahead of now (token_bucket.py), down to minus an hour of units. Change: the time since the last refill is 0 at least.

--- a/quota_gateway/policy/token_bucket.py
+++ b/quota_gateway/policy/token_bucket.py
@@ -21,9 +21,10 @@
 
     def refill(self, now: float) -> None:
         """Add the tokens since the last refill, up to the capacity that queued requests leave."""
-        earned = self.balance + self.rate * (now - self.updated_at)
+        elapsed = max(now - self.updated_at, 0.0)
+        earned = self.balance + self.rate * elapsed
         self.balance = max(self.balance, min(earned, self.capacity - self.queued_units))
-        hard_limit = self.hard_limit_balance + self.hard_limit_rate * (now - self.updated_at)
+        hard_limit = self.hard_limit_balance + self.hard_limit_rate * elapsed
         self.hard_limit_balance = min(self.hard_limit_capacity, hard_limit)
         self.updated_at = now
 
