--- /dev/null
+++ b/tests/test_momentary_errors.py
@@ -0,0 +1,114 @@
+"""System calls that fail for a moment (ENFILE, ENOBUFS, ENOMEM): nobody's connection is closed for it.
+
+The gateway is a real process with a preloaded library that has some of its calls fail. It is far from its own
+limit of descriptors.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import pathlib
+import time
+from dataclasses import dataclass, field
+
+import pytest
+
+from tests.fakes import HttpMessage, http_response
+from tests.fault_injection.injector import FaultInjector
+from tests.harness import GatewayHarness, request
+from tests.test_gateway_process import process
+
+KEPT_CLIENTS = 12  # that keep their connection
+NEW_CLIENTS = 12  # that connect anew for each request
+PLAY_TIME = 1.5  # seconds
+FAILURE_RATE = 0.15  # of the calls
+BUDGET = 1.0  # seconds that a client waits
+MAX_LATENESS = 0.5  # seconds after that time until which an answer is not lost
+KEPT_INTERVAL = 0.15  # seconds between the requests on a kept connection, which rests meanwhile
+NEW_INTERVAL = 0.02  # seconds between the requests of a client that connects anew
+
+
+def respond_and_close(writer: asyncio.StreamWriter, asked: HttpMessage) -> None:
+    """Answer, and have each request need a connection of its own."""
+    writer.write(http_response(200, b"", "Connection: close"))
+    writer.close()
+
+
+@dataclass
+class Play:
+    """Clients of one gateway, and how their requests ended."""
+
+    harness: GatewayHarness
+    number: int = 0
+    statuses: list[int] = field(default_factory=list)
+    latest: float = 0.0  # seconds from a request to its answer
+    closed_connections: int = 0  # without an answer
+
+    async def ask(self, client_number: int, keeps_connection: bool) -> None:
+        """Send requests until the play ends."""
+        ends_at = time.monotonic() + PLAY_TIME
+        client = await self.harness.connect_client()
+        while time.monotonic() < ends_at:
+            self.number += 1
+            started_at = time.monotonic()
+            text = request(self.number, budget=BUDGET, customer=f"{client_number:016x}")
+            try:
+                self.statuses.append((await client.exchange(text))[0])
+            except (OSError, asyncio.IncompleteReadError):
+                self.closed_connections += 1
+                client = await self.harness.connect_client()
+            self.latest = max(self.latest, time.monotonic() - started_at)
+            if not keeps_connection:
+                client.writer.close()
+                client = await self.harness.connect_client()
+            await asyncio.sleep(KEPT_INTERVAL if keeps_connection else NEW_INTERVAL)
+        client.writer.close()
+
+    async def run(self) -> None:
+        """Play all clients at once."""
+        clients = KEPT_CLIENTS + NEW_CLIENTS
+        await asyncio.gather(*(self.ask(number, number < KEPT_CLIENTS) for number in range(clients)))
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
+@pytest.mark.parametrize("call", ["accept", "socket"])
+async def test_a_call_that_fails_for_a_moment_takes_no_clients_connection(
+    call: str, error: int, tmp_path: pathlib.Path
+) -> None:
+    faults = FaultInjector(tmp_path / "faults", seed=7)
+    async with process(tmp_path, variables=faults.environment) as (harness, _):
+        harness.backends[0].script = [respond_and_close] * 100_000
+        play = Play(harness)
+        if call == "accept":
+            faults.fail_accepts(FAILURE_RATE, error)
+        else:
+            faults.fail_sockets(FAILURE_RATE, error)
+        await play.run()
+        assert faults.injected > 0
+        assert play.closed_connections == 0
+        assert play.latest <= BUDGET + MAX_LATENESS
+        assert set(play.statuses) <= {200, 429}
+        served = play.statuses.count(200)
+        print(f"{call}: {served} of {len(play.statuses)} served, {faults.injected} calls failed")
+        assert served > 0.8 * len(play.statuses)
+
+
+async def test_a_lasting_failure_of_the_system_leaves_clients_their_connections(
+    tmp_path: pathlib.Path,
+) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    async with process(tmp_path, variables=faults.environment) as (harness, _):
+        kept = [await harness.connect_client() for _ in range(KEPT_CLIENTS)]
+        assert [(await client.exchange(request(n)))[0] for n, client in enumerate(kept)] == [
+            200
+        ] * KEPT_CLIENTS
+        faults.fail_accepts(1.0, errno.ENFILE)
+        waiting = await harness.connect_client()
+        waiting.send(request(50))
+        await asyncio.sleep(0.5)
+        assert [(await client.exchange(request(60 + n)))[0] for n, client in enumerate(kept)] == [
+            200
+        ] * KEPT_CLIENTS
+        faults.fail_accepts(0.0, 0)
+        assert (await waiting.read_response())[0] == 200
