A system short of descriptors or memory costs no client its connection

Cause: accept and connect_with_retry took ENFILE, ENOBUFS and ENOMEM for a process without descriptors and called handle_descriptor_exhaustion (client_listener.py, dialing.py). Each failed call took the clients' limit to 16 below what was open and closed that many of them; it came back by ten a second. Change: only EMFILE shrinks the limit. After one of the others accept is called again at once, up to three times, and connects after 0.02 s. Really short of descriptors: test_descriptor_exhaustion passes.

--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
@@ -15,12 +16,13 @@
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
 from quota_gateway.downstream.request_router import RequestRouter
 from quota_gateway.model.settings import Settings
-from quota_gateway.sockets.dialing import RESOURCE_EXHAUSTION_ERRNOS, RETRY_DELAY
+from quota_gateway.sockets.dialing import RETRY_DELAY, SYSTEM_SHORTAGE_ERRNOS
 
 SWEEP_INTERVAL = 0.1  # seconds between checks of the connections' timeouts
 DRAIN_DELAY = 0.5  # seconds of a drain in which the load balancer may still send connections, and a margin
 MIN_CONNECTIONS = 8  # connections that clients may have, however short descriptors are
 MAX_ACCEPTS = 64  # connections accepted at a time, so that open ones are served in between
+MAX_FAILED_ACCEPTS = 3  # at a time: a shortage of the system has mostly passed by the next call
 FLUSH_POLL_INTERVAL = 0.01  # seconds
 UNKNOWN_TIME = 0.0  # seconds: long before any request
 
@@ -105,6 +107,7 @@
         """Accept what waits, up to a limit; True if more may wait and there is capacity for it."""
         self.accept_timer = None
         waiting_since = self.queue_bound.earliest()
+        failed_accepts = 0
         for _ in range(MAX_ACCEPTS):
             if self.listener is None or self.superseded:
                 return False
@@ -117,11 +120,13 @@
                 self.queue_bound.mark_empty(self.clock())
                 return False
             except OSError as error:
-                if error.errno in RESOURCE_EXHAUSTION_ERRNOS:
+                failed_accepts += error.errno in SYSTEM_SHORTAGE_ERRNOS
+                if error.errno == errno.EMFILE:
                     self.handle_descriptor_exhaustion()
-                    self.pause_accepting()
-                    return False
-                continue  # the client has disconnected
+                elif failed_accepts < MAX_FAILED_ACCEPTS:
+                    continue  # also if the client has disconnected
+                self.pause_accepting()
+                return False
             sock.setblocking(False)
             task = self.loop.create_task(self.open_connection(sock, waiting_since))
             self.accepting.add(task)
--- a/quota_gateway/sockets/dialing.py
+++ b/quota_gateway/sockets/dialing.py
@@ -1,4 +1,4 @@
-"""Outgoing TCP connections, retried while the process or the system is short of descriptors."""
+"""Outgoing TCP connections, retried while the process or the system is short of descriptors or memory."""
 
 from __future__ import annotations
 
@@ -9,8 +9,9 @@
 
 from quota_gateway.sockets.addresses import Address
 
-# No descriptor or kernel memory for one more socket: passes once other connections are closed.
-RESOURCE_EXHAUSTION_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# The system has no descriptor or memory for one more socket. This passes by itself, and to close connections
+# of this process would help little: the others take what it frees.
+SYSTEM_SHORTAGE_ERRNOS = frozenset({errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 RETRY_DELAY = 0.02  # seconds; the connections that were closed to free descriptors have released them by then
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
@@ -23,8 +24,9 @@
 ) -> ProtocolT:
     """Connect to `address` (host, port) and return the connection's protocol.
 
-    While no descriptor is left for the socket, `on_descriptor_exhaustion` is called to free some, and the
-    connect is retried after RETRY_DELAY. There is no limit on retries: the caller sets a timeout.
+    While this process or the system has no descriptor for the socket the connect is retried after
+    RETRY_DELAY. If it is this process, `on_descriptor_exhaustion` is called first to free some. There is no
+    limit on retries: the caller sets a timeout.
 
     Raises OSError if the address refuses the connection or can't be reached.
     """
@@ -34,9 +36,10 @@
             _, protocol = await loop.create_connection(protocol_factory, *address)
             return protocol
         except OSError as error:
-            if error.errno not in RESOURCE_EXHAUSTION_ERRNOS:
+            if error.errno == errno.EMFILE:
+                on_descriptor_exhaustion()
+            elif error.errno not in SYSTEM_SHORTAGE_ERRNOS:
                 raise
-        on_descriptor_exhaustion()
         await asyncio.sleep(RETRY_DELAY)
 
 
