--- /dev/null
+++ b/tests/test_shared_folder.py
@@ -0,0 +1,89 @@
+"""The folder that the processes of a gateway share fails for a while, or loses what was published in it.
+
+A newer process must find the older one there, whose state holds what operators took out of service.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import pathlib
+
+import pytest
+
+from quota_gateway.hot_restart.shared_folder import SOCKET_NAME
+from tests.fakes import EVENT_TIMEOUT
+from tests.fault_injection.injector import FaultInjector
+from tests.test_hot_restart import ProcessGroup, process_group
+
+OUTAGE = 0.5  # seconds
+ERRORS = [errno.EIO, errno.ENOSPC]
+
+
+async def until_published(folder: pathlib.Path) -> None:
+    """Wait until a process listens in the folder."""
+    async with asyncio.timeout(EVENT_TIMEOUT):
+        while not (folder / SOCKET_NAME).is_socket():  # noqa: ASYNC110 (another process sets no event)
+            await asyncio.sleep(0.01)
+
+
+async def take_out_of_service(processes: ProcessGroup, admin_port: int) -> None:
+    """Have an operator take one of the two backends out of service."""
+    assert await processes.call(admin_port, "POST", "/backends/b0/maint") == 200
+
+
+async def assert_out_of_service(processes: ProcessGroup, admin_port: int) -> None:
+    """Assert that the process knows of it."""
+    assert (await processes.metrics(admin_port))["targets_disabled"] == 1
+
+
+@pytest.mark.parametrize("error", ERRORS, ids=errno.errorcode.get)
+async def test_a_process_is_found_though_the_folder_failed_as_it_began_to_serve(
+    error: int, tmp_path: pathlib.Path
+) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    folder = tmp_path / "shared"
+    folder.mkdir()
+    async with process_group(folder) as processes:
+        faults.fail_folder(error)
+        _, older = await processes.start(faults.environment)
+        await take_out_of_service(processes, older)
+        await asyncio.sleep(OUTAGE)
+        assert faults.injected > 0
+        faults.fail_folder(0)
+        await until_published(folder)
+        _, newer = await processes.start()
+        await assert_out_of_service(processes, newer)
+
+
+@pytest.mark.parametrize("error", ERRORS, ids=errno.errorcode.get)
+async def test_a_process_finds_the_older_one_though_the_folder_failed_as_it_started(
+    error: int, tmp_path: pathlib.Path
+) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    folder = tmp_path / "shared"
+    folder.mkdir()
+    async with process_group(folder) as processes:
+        _, older = await processes.start()
+        await take_out_of_service(processes, older)
+        faults.fail_folder(error)
+        asyncio.get_running_loop().call_later(OUTAGE, faults.fail_folder, 0)
+        _, newer = await processes.start(faults.environment)
+        assert faults.injected > 0
+        await assert_out_of_service(processes, newer)
+
+
+async def test_a_process_is_found_after_a_newer_one_died(tmp_path: pathlib.Path) -> None:
+    async with process_group(tmp_path) as processes:
+        _, oldest = await processes.start()
+        for _ in range(2):
+            newer, _ = await processes.start()
+            await until_published(tmp_path)
+            newer.kill()
+            await newer.wait()
+        await take_out_of_service(processes, oldest)
+        async with asyncio.timeout(EVENT_TIMEOUT):
+            while await processes.call(oldest, "GET", "/healthcheck") != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        _, newest = await processes.start()
+        await assert_out_of_service(processes, newest)
