A process is found in the shared folder after the folder failed or a newer one died

Cause: announce_serving published the hand-over socket once and restore_from_older looked for it once, whatever the error (coordinator.py). And a newer process that died after it had published left its own dead socket in place of the older one's, so that the next one knew nothing of maintenance or quotas in use. Change: publishing is tried again each 0.1 s while the folder fails; looking goes on within the 2 s that a start waits, for errors that may pass; an older process publishes anew when its successor is gone. An accept that fails on this socket waits 0.1 s too, where the loop called it again at once.

--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections.abc import Callable, Iterator
@@ -33,6 +34,21 @@
 STATE_TRANSFER_TIMEOUT = 2.0  # seconds; an older process that hangs must not delay the start for longer
 SHARED_CAPACITY_FRACTION = 0.5  # of the upstream connections, for each of two processes
 UNKNOWN_ADDRESS = ("", 0)  # of an endpoint that has no connections
+RETRY_DELAY = 0.1  # seconds after which a folder, or an accept, that failed is tried again
+# A folder, or a system short of something, that may work again: other errors say that no process listens.
+TRANSIENT_ERRNOS = frozenset(
+    {
+        errno.EAGAIN,
+        errno.EIO,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENOSPC,
+        errno.ESTALE,
+        errno.ETIMEDOUT,
+    }
+)
 
 log = logging.getLogger("quota_gateway")
 
@@ -59,38 +75,70 @@
         self.links: set[ProcessLink] = set()
         self.successor: ProcessLink | None = None  # to the newer process, once it serves
         self._folder = SharedFolder(shared_folder)
-        self._acceptor = Acceptor(self._create_link)
+        self._acceptor = Acceptor(self._create_link, RETRY_DELAY)
+        self._publish_timer: asyncio.TimerHandle | None = None  # while the folder fails
+        self._is_closed = False
         self._restore_finished = asyncio.Event()
         # operators' commands to apply again after the restore; None once no state can arrive any more
         self._deferred_commands: list[OperatorCommand] | None = []
 
     async def restore_from_older(self) -> None:
         """Request and restore the state of an older process; start without it if there is none in time."""
-        connection = _unix_socket()
         try:
             async with asyncio.timeout(STATE_TRANSFER_TIMEOUT):
-                await self.loop.sock_connect(connection, self._folder.socket_path(SOCKET_NAME))
-                _, link = await self.loop.create_unix_connection(self._create_link, sock=connection)
-                link.send(Hello())
-                await self._restore_finished.wait()
+                connection = await self._connect_to_older()
+                if connection is not None:
+                    _, link = await self.loop.create_unix_connection(self._create_link, sock=connection)
+                    link.send(Hello())
+                    await self._restore_finished.wait()
         except TimeoutError:
             log.warning("the older process did not send its state in time")
-        except OSError:  # no process listens, or only the file of one is left
-            connection.close()
         if not self.links:
             self._deferred_commands = None
 
+    async def _connect_to_older(self) -> socket.socket | None:
+        """Return a connection to the older process, None if there is none; a folder that fails is retried."""
+        while True:
+            try:
+                return await self._connect()
+            except OSError as error:
+                if error.errno not in TRANSIENT_ERRNOS:  # no process listens, or only the file of one is left
+                    return None
+            await asyncio.sleep(RETRY_DELAY)
+
+    async def _connect(self) -> socket.socket:
+        connection = _unix_socket()
+        try:
+            await self.loop.sock_connect(connection, self._folder.socket_path(SOCKET_NAME))
+        except BaseException:  # also where it is cancelled
+            connection.close()
+            raise
+        return connection
+
     def announce_serving(self) -> None:
         """Notify the older process that this one serves clients, and listen for a newer one."""
         for link in self.links:
             link.send(Serving())
-        listener = _unix_socket()
+        self._publish()
+
+    def _publish(self) -> None:
+        """Listen for a newer process in the folder; while that fails it is tried again."""
+        is_first_try = self._publish_timer is None
+        if self._publish_timer is not None:
+            self._publish_timer.cancel()
+            self._publish_timer = None
+        listener: socket.socket | None = None
         try:
+            listener = _unix_socket()
             self._folder.publish(listener)
         except OSError as error:  # clients are served all the same
-            listener.close()
-            log.warning("a newer process can't take over from this one: %s", error.strerror or error)
+            if listener is not None:
+                listener.close()
+            if is_first_try:
+                log.warning("a newer process can't take over from this one yet: %s", error.strerror or error)
+            self._publish_timer = self.loop.call_later(RETRY_DELAY, self._publish)
             return
+        self._acceptor.close()
         self._acceptor.start(listener)
 
     def broadcast(self, notification: Notification) -> None:
@@ -102,10 +150,13 @@
 
     def close(self) -> None:
         """Stop listening and close the links."""
+        if self._publish_timer is not None:
+            self._publish_timer.cancel()
         self._acceptor.close()
         for link in list(self.links):
             link.close()
         self._folder.close()
+        self._is_closed = True
 
     def link_opened(self, link: ProcessLink) -> None:
         """Share the capacity with the other process."""
@@ -119,6 +170,8 @@
         if link is self.successor:
             self.successor = None
             self.on_superseded(False)
+            if not self._is_closed:
+                self._publish()  # the newer process has put its own socket in place of this one's
         self._restore_finished.set()
 
     def handle_message(self, link: ProcessLink, message: Message) -> None:
