Tests: a reload or a start that fails for a moment is made again

A lost reload leaves the gateway with a discovery that has gone, so that it sends to endpoints that drain.

--- /dev/null
+++ b/tests/test_reload_failures.py
@@ -0,0 +1,71 @@
+"""What a gateway does once, at its start or on a signal, is done again if it fails for a moment."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import pathlib
+import signal
+
+import pytest
+
+from tests.fakes import EVENT_TIMEOUT, FakeDiscovery
+from tests.fault_injection.injector import FaultInjector
+from tests.harness import READY_REQUEST, request
+from tests.test_gateway_process import process
+
+OUTAGE = 0.5  # seconds
+FOLLOW_TIME = 4.0  # seconds after SIGHUP from which changes count as told
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.EIO], ids=errno.errorcode.get)
+async def test_a_reload_that_can_not_open_the_file_is_made_later(error: int, tmp_path: pathlib.Path) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    async with process(tmp_path, variables=faults.environment) as (harness, child):
+        discovery = FakeDiscovery()
+        await discovery.start()
+        discovery.entries = harness.discovery.entries
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": discovery.address}))
+        faults.fail_configuration_file(error)
+        child.send_signal(signal.SIGHUP)
+        asyncio.get_running_loop().call_later(OUTAGE, faults.fail_configuration_file, 0)
+        async with asyncio.timeout(FOLLOW_TIME):
+            await discovery.wait_for_requests(2)
+        await discovery.stop()
+
+
+async def test_a_reload_of_a_file_that_is_being_written_is_made_later(tmp_path: pathlib.Path) -> None:
+    async with process(tmp_path) as (harness, child):
+        discovery = FakeDiscovery()
+        await discovery.start()
+        discovery.entries = harness.discovery.entries
+        path = tmp_path / "config.json"
+        text = json.dumps(json.loads(path.read_text()) | {"discovery": discovery.address})
+        path.write_text(text[: len(text) // 2])
+        child.send_signal(signal.SIGHUP)
+        await asyncio.sleep(OUTAGE)
+        path.write_text(text)
+        async with asyncio.timeout(FOLLOW_TIME):
+            await discovery.wait_for_requests(2)
+        await discovery.stop()
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS], ids=errno.errorcode.get)
+async def test_a_start_waits_until_the_system_has_sockets(error: int, tmp_path: pathlib.Path) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    faults.fail_sockets(1.0, error)
+    asyncio.get_running_loop().call_later(OUTAGE, faults.fail_sockets, 0.0, 0)
+    async with process(tmp_path, console=True, variables=faults.environment) as (harness, child):
+        assert faults.injected > 0 and child.returncode is None
+        client = await harness.connect_client()
+        assert (await client.exchange(READY_REQUEST))[0] == 200
+        assert (await client.exchange(request(1)))[0] == 200
+        async with asyncio.timeout(EVENT_TIMEOUT):
+            while True:
+                try:
+                    assert (await harness.call_admin("GET", "/healthcheck"))[0] == 200
+                    break
+                except OSError:  # not listening yet
+                    await asyncio.sleep(0.02)
