A reload, and a start's listening, are tried again after a failure that may pass

Cause: ConfigurationReloader.reload, bind in GatewayProcess.start and the admin server's listen were called once. A file that could not be opened for a moment, or was half written, lost the reload; a moment's ENFILE ended the start, or left the process without its admin server. Change: a failed reload is tried again each 0.1 s for 3 s; listening is tried for 8 s where the error may pass (transient_errors.py), the admin server's for as long as the process lives. A failed reload counts as before, and once more as made when it is.

--- a/quota_gateway/configuration/reload.py
+++ b/quota_gateway/configuration/reload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import os
 from typing import NamedTuple
@@ -13,6 +14,9 @@
 from quota_gateway.metrics import Metrics
 from quota_gateway.sockets.addresses import Address
 
+RETRY_DELAY = 0.1  # seconds after which a reload that failed is tried again: the file may be half written
+MAX_RETRIES = 30  # after one signal; from 4 s after it what the new discovery has to tell counts as told
+
 log = logging.getLogger("quota_gateway")
 
 
@@ -38,15 +42,42 @@
         self.discovery = discovery
         self.counter = counter
         self.metrics = metrics
+        self._retry_timer: asyncio.TimerHandle | None = None
 
     def reload(self) -> None:
-        """Apply the file as it is now; one that can't be used is logged and changes nothing."""
+        """Apply the file as it is now; one that can't be used is logged, and read again for some seconds."""
+        self.close()
         try:
             configuration = read_configuration(os.environ)
         except ConfigurationError as error:
             self.metrics.reloaded(False)
             log.warning("reload failed, keeping the current configuration: %s", error)
+            self._retry_later(MAX_RETRIES)
+            return
+        self._finish(configuration)
+
+    def close(self) -> None:
+        """Try no further reload."""
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+            self._retry_timer = None
+
+    def _retry_later(self, retries: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._retry_timer = loop.call_later(RETRY_DELAY, self._retry, retries)
+
+    def _retry(self, retries: int) -> None:
+        self._retry_timer = None
+        try:
+            configuration = read_configuration(os.environ)
+        except ConfigurationError:
+            if retries > 1:
+                self._retry_later(retries - 1)
             return
+        log.info("the configuration was reloaded after a failure")
+        self._finish(configuration)
+
+    def _finish(self, configuration: Configuration) -> None:
         self.metrics.reloaded(True)
         self._apply(reloadable_addresses(configuration))
 
--- a/quota_gateway/gateway_process.py
+++ b/quota_gateway/gateway_process.py
@@ -7,6 +7,7 @@
 import gc
 import logging
 import signal
+import socket
 import time
 from collections.abc import Callable
 
@@ -25,9 +26,14 @@
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import SetDraining, SetMaintenance
 from quota_gateway.shutdown import ACCEPT_WINDOW, GracefulShutdown, shutdown_timeout_for
+from quota_gateway.sockets.addresses import Address, format_address
 from quota_gateway.sockets.listening import bind, inherit
+from quota_gateway.transient_errors import is_transient
 from quota_gateway.upstream.connection_pool import ConnectionPool
 
+BIND_RETRY_DELAY = 0.1  # seconds after which a listening socket that could not be had is tried again
+BIND_TIMEOUT = 8.0  # seconds; a gateway should be ready within 10
+ADMIN_RETRY_DELAY = 0.5  # seconds after which the admin server tries again to listen
 MAX_FIRST_LIST_TIMEOUT = 1.0  # seconds that a start waits for the first endpoint list from discovery
 
 log = logging.getLogger("quota_gateway")
@@ -56,6 +62,7 @@
         self.listen_address = configuration.listen_address
         self.listen_descriptor = configuration.listen_descriptor
         self.admin_address = configuration.admin_address
+        self._admin_timer: asyncio.TimerHandle | None = None  # while the admin server can't listen
         self.endpoint_list_settled = False  # it is from discovery, or as good as can be had at the start
         # discovery's agent is local: one that takes longer than a connect is overloaded, and clients wait
         self.first_list_timeout = min(MAX_FIRST_LIST_TIMEOUT, limits.connect_timeout)
@@ -174,7 +181,7 @@
         """Begin to serve; OSError where an address or descriptor can't be listened on."""
         self._open_admin()
         if self.listen_descriptor is None:
-            self.listener.listen(bind(self.listen_address))
+            self.listener.listen(await self._bind(self.listen_address))
         self.discovery.start()
         restoring = None
         if self.hot_restart is not None:
@@ -188,13 +195,30 @@
         if self.hot_restart is not None:
             self.hot_restart.announce_serving()
 
+    async def _bind(self, address: Address) -> socket.socket:
+        """Return a listening socket, after some time if the system is short of sockets."""
+        retry_until = self.loop.time() + BIND_TIMEOUT
+        while True:
+            try:
+                return bind(address)
+            except OSError as error:
+                if not is_transient(error) or self.loop.time() >= retry_until:
+                    raise
+            await asyncio.sleep(BIND_RETRY_DELAY)
+
     def _open_admin(self) -> None:
+        """Have the admin server listen, once it can: clients can be served without it."""
         if self.admin_address is None:
             return
+        is_first_try = self._admin_timer is None
+        self._admin_timer = None
         try:
             self.admin.listen(self.admin_address)
-        except OSError as error:  # clients can be served without it
-            log.warning("the admin server can't listen on %s:%d: %s", *self.admin_address, error.strerror)
+        except OSError as error:
+            if is_first_try:
+                address = format_address(self.admin_address)
+                log.warning("the admin server can't listen on %s yet: %s", address, error.strerror)
+            self._admin_timer = self.loop.call_later(ADMIN_RETRY_DELAY, self._open_admin)
 
     async def _wait_for_first_list(self) -> None:
         """Wait for discovery's first answer; without one in time the cached endpoint list is used."""
@@ -215,6 +239,9 @@
     def _close(self) -> None:
         """Close what is left once no client is connected."""
         self.discovery.stop()
+        self.reloader.close()
+        if self._admin_timer is not None:
+            self._admin_timer.cancel()
         self.admin.close()
         if self.hot_restart is not None:
             self.hot_restart.close()
--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 from collections.abc import Callable, Iterator
@@ -30,25 +29,12 @@
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import PeerProcessChanged, SetDraining, SetMaintenance, StateSnapshot
 from quota_gateway.sockets.acceptor import Acceptor
+from quota_gateway.transient_errors import is_transient
 
 STATE_TRANSFER_TIMEOUT = 2.0  # seconds; an older process that hangs must not delay the start for longer
 SHARED_CAPACITY_FRACTION = 0.5  # of the upstream connections, for each of two processes
 UNKNOWN_ADDRESS = ("", 0)  # of an endpoint that has no connections
 RETRY_DELAY = 0.1  # seconds after which a folder, or an accept, that failed is tried again
-# A folder, or a system short of something, that may work again: other errors say that no process listens.
-TRANSIENT_ERRNOS = frozenset(
-    {
-        errno.EAGAIN,
-        errno.EIO,
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-        errno.ENOSPC,
-        errno.ESTALE,
-        errno.ETIMEDOUT,
-    }
-)
 
 log = logging.getLogger("quota_gateway")
 
@@ -102,7 +88,7 @@
             try:
                 return await self._connect()
             except OSError as error:
-                if error.errno not in TRANSIENT_ERRNOS:  # no process listens, or only the file of one is left
+                if not is_transient(error):  # no process listens, or only the file of one is left
                     return None
             await asyncio.sleep(RETRY_DELAY)
 
