--- a/tests/test_reload_failures.py
+++ b/tests/test_reload_failures.py
@@ -69,3 +69,14 @@
                     break
                 except OSError:  # not listening yet
                     await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.EIO], ids=errno.errorcode.get)
+async def test_a_start_waits_until_the_configuration_can_be_opened(
+    error: int, tmp_path: pathlib.Path
+) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    faults.fail_configuration_file(error)
+    asyncio.get_running_loop().call_later(OUTAGE, faults.fail_configuration_file, 0)
+    async with process(tmp_path, variables=faults.environment) as (harness, _):
+        assert (await (await harness.connect_client()).exchange(request(1)))[0] == 200
