A start waits until its configuration can be opened

Cause: main ended with status 2 on any ConfigurationError, also where opening the file failed with ENFILE or EIO for a moment (__main__.py). Change: such errors are tried again each 0.1 s for 5 s; all others end it as before.

--- a/quota_gateway/__main__.py
+++ b/quota_gateway/__main__.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 
 import uvloop
 
@@ -13,6 +14,10 @@
 from quota_gateway.errors import ConfigurationError
 from quota_gateway.exit_status import EXIT_FAILURE, EXIT_INVALID_INPUT, report_fatal_error
 from quota_gateway.gateway_process import GatewayProcess
+from quota_gateway.transient_errors import is_transient
+
+READ_TIMEOUT = 5.0  # seconds that a start tries to open its configuration; it should be ready within 10
+READ_RETRY_DELAY = 0.1  # seconds
 
 
 async def serve(configuration: Configuration) -> None:
@@ -20,6 +25,21 @@
     await GatewayProcess(configuration).run()
 
 
+def read_start_configuration() -> Configuration:
+    """Return the configuration, after some time if its file can't be opened for a moment.
+
+    Raises ConfigurationError if it can't be used.
+    """
+    retry_until = time.monotonic() + READ_TIMEOUT
+    while True:
+        try:
+            return read_configuration(os.environ)
+        except ConfigurationError as error:
+            if not is_transient(error.__cause__) or time.monotonic() >= retry_until:
+                raise
+        time.sleep(READ_RETRY_DELAY)
+
+
 def main() -> int:
     """Run the gateway with the configuration of the environment, and return the exit status."""
     logging.basicConfig(format="%(name)s: %(message)s", level=logging.WARNING)
@@ -27,7 +47,7 @@
     # that has been read already, so it stays pending
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        configuration = read_configuration(os.environ)
+        configuration = read_start_configuration()
     except ConfigurationError as error:
         return report_fatal_error(error, EXIT_INVALID_INPUT)
     try:
