--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -98,6 +98,26 @@
         await assert_served_and_shut_down(client, shutdown)
 
 
+async def test_a_pipelined_request_that_is_unread_as_the_response_before_it_ends_is_served() -> None:
+    """It lies in the kernel when the response before it is sent, which must not announce the close then."""
+    backend_released = asyncio.Event()
+    async with running_gateway() as harness:
+        harness.backends[0].script = [send_success_after(backend_released)]
+        client = await harness.connect_client()
+        client.send(request(1))
+        await harness.backends[0].wait_until(lambda: len(harness.received_requests()) == 1)
+        shutdown = await begin_shutdown(harness)
+        (connection,) = harness.process.listener.connections
+        assert connection.transport is not None
+        connection.transport.pause_reading()  # as in a turn of the loop that has yet to read it
+        client.send(request(2))
+        await until(connection.has_unread_input)
+        backend_released.set()
+        assert (await client.read_response())[0] == 200
+        connection.transport.resume_reading()
+        await assert_served_and_shut_down(client, shutdown)
+
+
 async def test_a_request_whose_backend_hangs_to_the_end_is_failed_with_a_response() -> None:
     async with running_gateway() as harness:
 
