A last response that its client reads slowly is not cut off

Cause: a closing connection was reset 1 s after its end, and a shutdown's 0.25 s later, whatever the client had yet to read (enforce_timeouts, GracefulShutdown.run); an eviction did so at once. The last response of a shutdown was told by what had been read, so that a pipelined request that still lay in the kernel was read and dropped (ends_with). And the timer of an unread response did not see reading while further responses were added.

--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -139,7 +139,7 @@
         partial_request = self.in_request and writer is not self.requests.streaming_writer
         if not self.listener.is_shutting_down() or self.unread or partial_request:
             return False
-        if self.responses[-1] is not writer:
+        if self.responses[-1] is not writer or self.has_unread_input():
             return False
         self.ended = True
         return True
@@ -182,11 +182,15 @@
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Enforce the timeouts; a connection closes soon, or gets an error, whatever its client sent."""
         requests = self.requests
-        if self.closing:
-            if now - self.closing_since > linger_timeout(requests):
+        unsent_bytes = self.unsent_bytes()
+        if not unsent_bytes:
+            self.unread_response_timer.stop()
+        if unsent_bytes and (self.closing or self.write_paused):
+            self.closing_since = now  # of a closing connection: its client has yet to read the last response
+            if self.unread_response_timer.has_expired(now, unsent_bytes):
                 self.drop()
-        elif self.write_paused:
-            if self.unread_response_timer.has_expired(now, self.unsent_bytes()):
+        elif self.closing:
+            if now - self.closing_since > linger_timeout(requests):
                 self.drop()
         elif self.is_reading_request():
             if is_request_overdue(requests, self.last_read_at, now):
--- a/quota_gateway/downstream/connection_eviction.py
+++ b/quota_gateway/downstream/connection_eviction.py
@@ -23,10 +23,10 @@
 
 def evict(connection: ClientConnection, now: float) -> bool:
     """Close a connection in favour of another client; False if that would lose a request."""
-    if connection.closing:
+    if connection.closing and not connection.unsent_bytes():
         connection.drop()
         return True
-    if connection.responses or connection.unread or not is_unused(connection, now):
+    if connection.closing or connection.responses or connection.unread or not is_unused(connection, now):
         return False
     if connection.in_request:
         error = InvalidRequestError(408, "the request did not come whole, and others wait")
--- a/quota_gateway/downstream/connection_limits.py
+++ b/quota_gateway/downstream/connection_limits.py
@@ -28,16 +28,21 @@
         self.progress_at = 0.0  # seconds: when the client last read something
         self.unsent_bytes = 0
 
+    def stop(self) -> None:
+        """Note that nothing waits."""
+        self.unsent_bytes = 0
+
     def start(self, now: float, unsent_bytes: int) -> None:
         """Start at a time at which so many bytes wait in the transport."""
         self.progress_at = now
         self.unsent_bytes = unsent_bytes
 
     def has_expired(self, now: float, unsent_bytes: int) -> bool:
-        """Return True after the timeout; it starts anew whenever fewer bytes wait."""
-        if unsent_bytes < self.unsent_bytes:
+        """Return True after the timeout; it starts when bytes begin to wait, and whenever fewer wait."""
+        if not self.unsent_bytes or unsent_bytes < self.unsent_bytes:
             self.start(now, unsent_bytes)
             return False
+        self.unsent_bytes = unsent_bytes  # of a further response
         return now - self.progress_at > UNREAD_RESPONSE_TIMEOUT
 
 
--- a/quota_gateway/shutdown.py
+++ b/quota_gateway/shutdown.py
@@ -14,7 +14,7 @@
 KILL_MARGIN = 0.3  # seconds before SIGKILL by which every request has its response
 FINAL_READ_WINDOW = 0.15  # seconds for bytes that are on their way on the connections accepted last
 READ_INTERVAL = 0.02  # seconds for the event loop to read what has just arrived
-FLUSH_TIMEOUT = 0.25  # seconds for clients to receive the last responses
+FLUSH_TIMEOUT = 0.25  # seconds, at least, for clients to receive the last responses
 
 
 def shutdown_timeout_for(settings: Settings) -> float:
@@ -45,7 +45,7 @@
         await self._drain(deadline)
         self.dispatcher.fail_all_unanswered()
         self.listener.close_idle()
-        await self.listener.wait_until_flushed(FLUSH_TIMEOUT)
+        await self.listener.wait_until_flushed(max(deadline - self.loop.time(), FLUSH_TIMEOUT))
         self.listener.close()
 
     async def _stop_listening(self, deadline: float) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -10,7 +10,11 @@
 import pytest
 
 from quota_gateway.body_streaming import MAX_BUFFERED_BYTES
-from quota_gateway.downstream.connection_limits import LINGER_TIMEOUT
+from quota_gateway.downstream.connection_limits import (
+    LINGER_TIMEOUT,
+    UNREAD_RESPONSE_TIMEOUT,
+    UnreadResponseTimer,
+)
 from quota_gateway.shutdown import FLUSH_TIMEOUT
 from tests.fakes import EVENT_TIMEOUT, HttpMessage, http_response
 from tests.harness import Client, GatewayHarness, request, running_gateway
@@ -79,3 +83,14 @@
         await asyncio.sleep(1.0 + 2 * FLUSH_TIMEOUT)
         await assert_all_responses_are_whole(client)
         assert await child.wait() == 0
+
+
+def test_the_timeout_of_an_unread_response_runs_only_while_nothing_is_read() -> None:
+    timer = UnreadResponseTimer()
+    assert not timer.has_expired(100.0, 500)  # the first byte that waits starts it
+    assert not timer.has_expired(100.0 + UNREAD_RESPONSE_TIMEOUT, 900)  # a further response is no reading
+    assert timer.has_expired(100.1 + UNREAD_RESPONSE_TIMEOUT, 900)
+    assert not timer.has_expired(100.2 + UNREAD_RESPONSE_TIMEOUT, 899)
+    timer.stop()
+    assert not timer.has_expired(200.0, 900)
+    assert timer.has_expired(200.1 + UNREAD_RESPONSE_TIMEOUT, 900)
