--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from quota_gateway.body_streaming import MAX_BUFFERED_BYTES
+from quota_gateway.body_streaming import LAST_CHUNK, MAX_BUFFERED_BYTES, RequestBodyStream
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.upstream import connection
 from quota_gateway.upstream.attempt import AttemptResult
 from quota_gateway.upstream.endpoint_connections import MIN_IDLE_BEFORE_REUSE
 from quota_gateway.upstream.response_parser import MAX_HEAD_BYTES
 from tests.fakes import EVENT_TIMEOUT, HOST, HttpMessage, ResponseStep, http_response
-from tests.upstream_harness import ManualTimerLoop, abort_connection, respond_with, sending
+from tests.upstream_harness import ManualTimerLoop, abort_connection, new_attempt, respond_with, sending
 
 
 @pytest.mark.parametrize(
@@ -232,3 +232,33 @@
         assert timer.delay == pytest.approx(read_timeout, rel=0.01)
         timer.fire()
         assert (await started.result).outcome is Outcome.BROKEN_RESPONSE
+
+
+class FullTransport(asyncio.Transport):
+    """Records what is written; its buffer is full after each write until the test says otherwise."""
+
+    def __init__(self, connection: connection.UpstreamConnection) -> None:
+        super().__init__()
+        self.connection = connection
+        self.written: list[bytes] = []
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written.append(bytes(data))
+        self.connection.pause_writing()
+
+
+async def test_the_end_of_a_chunked_body_is_written_once_however_full_the_send_buffer_is() -> None:
+    async with sending() as (sender, _):
+        (endpoint,) = sender.pool.endpoints.values()
+        upstream = connection.UpstreamConnection(sender.pool, endpoint)
+        transport = FullTransport(upstream)
+        upstream.transport = transport
+        attempt = new_attempt(sender.pool).attempt
+        attempt.body_stream = RequestBodyStream(None, 5.0)
+        attempt.body_stream.feed(b"abc")
+        attempt.body_stream.finish()
+        upstream.send_attempt(attempt, sender.pool.clock())
+        for _ in range(5):
+            upstream.resume_writing()
+        assert transport.written[1:] == [b"3\r\nabc\r\n", LAST_CHUNK]
+        assert attempt.written_at is not None
