The end of a chunked upload is written once

Cause: _write_chunks wrote the trailer whenever it was called at the end of the body, which resume_writing does again while the send buffer was full (upstream/connection.py). Change: the stream gives its end out once.

--- a/quota_gateway/body_streaming.py
+++ b/quota_gateway/body_streaming.py
@@ -45,6 +45,7 @@
         self.buffered_bytes = 0
         self.is_complete = False  # the client has sent all of it
         self.started = False  # some of it was taken
+        self.end_taken = False  # and the end of a chunked body
         self.on_capacity: Callable[[], None] = _ignore_notification
         self.on_data: Callable[[], None] = _ignore_notification
         self.on_first_read: Callable[[], None] = _ignore_notification
@@ -56,10 +57,12 @@
             return b"Transfer-Encoding: chunked\r\n"
         return b"Content-Length: %d\r\n" % self.length
 
-    @property
-    def trailer(self) -> bytes:
-        """What follows the last chunk: the end of a chunked body, else nothing."""
-        return LAST_CHUNK if self.length is None else b""
+    def take_end(self) -> bytes:
+        """Return what follows the last chunk: the end of a chunked body, else nothing; once only."""
+        if self.length is not None or self.end_taken:
+            return b""
+        self.end_taken = True
+        return LAST_CHUNK
 
     def is_full(self) -> bool:
         """Return True while the client's connection should not be read."""
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -107,8 +107,8 @@
             transport.write(chunk)
         if self._is_writing_paused or body_stream.chunks or not body_stream.is_complete:
             return
-        if body_stream.trailer:
-            transport.write(body_stream.trailer)
+        if end := body_stream.take_end():
+            transport.write(end)
 
     def pause_writing(self) -> None:
         """Stop sending: the kernel's send buffer is full."""
