A response to a lost connection ends no other request's actions

Cause: connection_lost empties the responses first and then reports each request; a rejection that follows for the next one asks ends_with, which looked at the last of no responses (client_connection.py). The IndexError dropped the rest of the event's actions. Change: a lost connection has no last response. Before: IndexError in the test's log. After: none, and all requests are ended.

--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -139,7 +139,8 @@
         partial_request = self.in_request and writer is not self.requests.streaming_writer
         if not self.listener.is_shutting_down() or self.unread or partial_request:
             return False
-        if self.responses[-1] is not writer or self.has_unread_input():
+        is_last = bool(self.responses) and self.responses[-1] is writer  # there are none of a lost connection
+        if not is_last or self.has_unread_input():
             return False
         self.ended = True
         return True
