A streamed response is framed by the version of its own request

Cause: begin_stream took the version of the latest request read on the connection (response_writer.py), which with pipelining is a later one's. Change: the writer keeps the version of its request. Before: the test's response came without its chunked framing. After: with it.

--- a/quota_gateway/downstream/response_writer.py
+++ b/quota_gateway/downstream/response_writer.py
@@ -52,6 +52,7 @@
     __slots__ = (
         "chunked",
         "connection",
+        "http_version",
         "is_sending",
         "keep_alive",
         "request_id",
@@ -63,6 +64,7 @@
     def __init__(self, connection: ResponseConnection, keep_alive: bool) -> None:
         """Take the connection, and whether it stays open after this response."""
         self.connection = connection
+        self.http_version = connection.http_version  # of its request, the latest one by now
         self.keep_alive = keep_alive
         self.request_id = 0  # the dispatcher's id; 0 for a request that was not submitted
         self.unsent: bytes | None = None  # bytes to write; None until the response begins
@@ -99,7 +101,7 @@
 
     def begin_stream(self, head: ResponseHead, source: StreamSource) -> None:
         """Send the head of a streamed response; `source` is paused while the client can't take more."""
-        self.chunked = head.length is None and self.connection.http_version != "1.0"
+        self.chunked = head.length is None and self.http_version != "1.0"
         self.keep_alive = self.keep_alive and not self.connection.ends_with(self)
         framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else b""
         if head.length is not None:
