--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -15,6 +15,7 @@
 
 from quota_gateway.engine.policy_engine import PolicyEngine
 from quota_gateway.hot_restart import coordinator
+from quota_gateway.hot_restart.process_link import ProcessLink
 from quota_gateway.hot_restart.shared_folder import SOCKET_NAME
 from quota_gateway.model.actions import StartAttempt
 from quota_gateway.model.charges import UnitsCharged
@@ -248,6 +249,24 @@
         assert await processes.call(new, "GET", "/healthcheck") == 200
 
 
+async def test_a_peers_command_for_an_endpoint_that_is_not_listed_yet_counts_once_it_is(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with running_gateway(2) as harness:
+        process = harness.process
+        listed = harness.discovery.entry("new", harness.backends[1].address)
+        restarting = coordinator.HotRestartCoordinator(
+            str(tmp_path), process.dispatcher, process.discovery.answered, lambda superseded: None
+        )
+        restarting.handle_message(ProcessLink(restarting), SetMaintenance("new", True))
+        await harness.discovery.publish(listed)
+        async with asyncio.timeout(EVENT_TIMEOUT):
+            while "new" not in process.dispatcher.engine.endpoints:  # noqa: ASYNC110 (no event marks it)
+                await asyncio.sleep(0.01)
+        assert "new" not in [endpoint.id for endpoint in process.dispatcher.engine.registry.serving]
+        restarting.close()
+
+
 @pytest.mark.parametrize("stale", ["file", "socket", "folder"])
 async def test_files_left_by_an_older_process_do_not_prevent_the_start(
     stale: str, tmp_path: pathlib.Path
--- a/tests/test_momentary_errors.py
+++ b/tests/test_momentary_errors.py
@@ -14,9 +14,10 @@
 
 import pytest
 
+from quota_gateway.downstream.client_connection import MAX_PIPELINED_REQUESTS
 from tests.fakes import HttpMessage, http_response
 from tests.fault_injection.injector import FaultInjector
-from tests.harness import GatewayHarness, request
+from tests.harness import GatewayHarness, request, running_gateway
 from tests.test_gateway_process import process
 
 KEPT_CLIENTS = 12  # that keep their connection
@@ -112,3 +113,29 @@
         ] * KEPT_CLIENTS
         faults.fail_accepts(0.0, 0)
         assert (await waiting.read_response())[0] == 200
+
+
+class FailingEpoll:
+    """An epoll set that the kernel can add no descriptor to."""
+
+    def register(self, descriptor: int, events: int) -> None:
+        raise OSError(errno.ENOMEM, "no memory")
+
+    def unregister(self, descriptor: int) -> None:
+        raise OSError(errno.ENOENT, "not registered")
+
+
+async def test_a_paused_connection_that_can_not_be_watched_is_served_all_the_same(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with running_gateway() as harness:
+        monitor = harness.process.listener.disconnect_monitor
+        epoll = monitor.epoll
+        monitor.epoll = FailingEpoll()  # type: ignore[assignment]
+        client = await harness.connect_client()
+        count = 6 * MAX_PIPELINED_REQUESTS  # more than are parsed at a time
+        client.send(b"".join(request(number) for number in range(count)))
+        statuses = [(await client.read_response())[0] for _ in range(count)]
+        monitor.epoll = epoll
+        assert set(statuses) <= {200, 429}
+        assert not caplog.records
