A peer's command counts for endpoints that are not listed here yet

Cause: the other process's SetMaintenance went through the check that answers operators 404 (coordinator.py, _apply_command), so it was dropped where the list here was older. Change: what a peer accepted is posted as it is. Before: the endpoint was used as soon as it was listed. After: it is not.

--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -173,7 +173,7 @@
             case UnitsCharged():
                 self.dispatcher.post(message)
             case SetDraining() | SetMaintenance():
-                self._apply_command(message)
+                self.dispatcher.post(message)  # also for an endpoint that this process's list has yet to name
 
     def _create_link(self) -> ProcessLink:
         return ProcessLink(self)
@@ -199,16 +199,9 @@
         commands = self._deferred_commands or []
         self._deferred_commands = None
         for command in commands:
-            self._apply_command(command)
+            self.dispatcher.post(command)
         self._restore_finished.set()
 
-    def _apply_command(self, command: OperatorCommand) -> None:
-        match command:
-            case SetDraining():
-                self.dispatcher.set_draining(command.enabled)
-            case SetMaintenance():
-                self.dispatcher.set_maintenance(command.endpoint_id, command.enabled)
-
 
 def _unix_socket() -> socket.socket:
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
