A connection that can't be watched while it is paused is served all the same

Cause: epoll_ctl may fail with ENOMEM or ENOSPC; the error left DisconnectMonitor.watch in the middle of an event and dropped its actions. Change: such a connection goes unwatched; may_begin looks at it before each attempt. Before: 'failed to handle the event' in the log.

--- a/quota_gateway/downstream/disconnect_monitor.py
+++ b/quota_gateway/downstream/disconnect_monitor.py
@@ -32,8 +32,13 @@
         """Report the end of this connection, once."""
         if descriptor in self.callbacks:  # of a closed connection whose number was reused
             self.unregister(descriptor)
+        try:
+            self.epoll.register(descriptor, PEER_CLOSED_EVENTS)
+        except (
+            OSError
+        ):  # no memory: a disconnect shows once the connection is read again, or before an attempt
+            return
         self.callbacks[descriptor] = callback
-        self.epoll.register(descriptor, PEER_CLOSED_EVENTS)
 
     def unwatch(self, descriptor: int, callback: Callable[[bool], None]) -> None:
         """Stop watching, unless the descriptor has become another connection's."""
