One place for what may be sent or closed now, with invariants counted and requests logged

Until now attempts were checked in three places (the executor, the pool's connect, the attempt) and a close in four, each with its own words. policy/permissions.py decides both; which endpoint an attempt may go to and whether it is a repeat that does no harm stays with LoadBalancer.may_send. invariants.py checks nine things where they are done, apart from what decides on them; violations are logged and counted (svc.violations...). Operators also see why requests were rejected, attempts refused and how attempts ended, and with RELAY_LOG_LEVEL=debug a line for each event of a request, with its ids.

--- a/quota_gateway/__main__.py
+++ b/quota_gateway/__main__.py
@@ -16,6 +16,8 @@
 from quota_gateway.gateway_process import GatewayProcess
 from quota_gateway.transient_errors import is_transient
 
+LOG_LEVEL_VARIABLE = "RELAY_LOG_LEVEL"  # one of the standard library's names, in any case
+DEFAULT_LOG_LEVEL = "WARNING"
 READ_TIMEOUT = 5.0  # seconds that a start tries to open its configuration; it should be ready within 10
 READ_RETRY_DELAY = 0.1  # seconds
 
@@ -42,7 +44,11 @@
 
 def main() -> int:
     """Run the gateway with the configuration of the environment, and return the exit status."""
-    logging.basicConfig(format="%(name)s: %(message)s", level=logging.WARNING)
+    level = os.environ.get(LOG_LEVEL_VARIABLE, DEFAULT_LOG_LEVEL).upper()
+    if level not in logging.getLevelNamesMapping():
+        return report_fatal_error(f"{LOG_LEVEL_VARIABLE} names no log level: {level!r}", EXIT_INVALID_INPUT)
+    logging.basicConfig(format="%(name)s: %(message)s", level=level)
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
     # SIGHUP would end the process; one that comes before the handler is there may follow a change of the file
     # that has been read already, so it stays pending
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
--- a/quota_gateway/dispatch/action_executor.py
+++ b/quota_gateway/dispatch/action_executor.py
@@ -9,7 +9,9 @@
 from typing import Protocol
 
 from quota_gateway.counter.client import CounterClient
+from quota_gateway.dispatch.request_log import RequestLog
 from quota_gateway.dispatch.request_registry import RequestRegistry
+from quota_gateway.metrics import Metrics
 from quota_gateway.model.actions import (
     Action,
     CancelAttempt,
@@ -18,6 +20,7 @@
     FailRequest,
     IncrementCounter,
     PollEndpoints,
+    Reason,
     Reject,
     SetTimer,
     StartAttempt,
@@ -26,7 +29,7 @@
 from quota_gateway.model.events import CounterReply, Event
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.model.timers import Timer
-from quota_gateway.upstream.attempt import AttemptResult
+from quota_gateway.upstream.attempt import AttemptResult, refused_result
 from quota_gateway.upstream.connection_pool import ConnectionPool
 
 log = logging.getLogger("quota_gateway")
@@ -56,8 +59,12 @@
         pool: ConnectionPool,
         clock: Callable[[], float],
         loop: asyncio.AbstractEventLoop,
+        metrics: Metrics,
+        request_log: RequestLog,
     ) -> None:
         """Create an executor whose timers run on `loop`."""
+        self._metrics = metrics
+        self._request_log = request_log
         self._context = context
         self._registry = registry
         self._pool = pool
@@ -74,7 +81,7 @@
             case Reject():
                 self._reject(action)
             case FailRequest():
-                self._answer(action.request_id, HTTPStatus.BAD_GATEWAY)
+                self._answer(action.request_id, HTTPStatus.BAD_GATEWAY, action.reason)
             case CancelAttempt():
                 self._cancel_attempt(action)
             case IncrementCounter():
@@ -97,11 +104,16 @@
             return
         now = self._clock()
         attempt = active_request.add_attempt(action, now)
-        is_late = active_request.answered or now >= active_request.deadline
-        if is_late or not active_request.may_begin(now):
-            attempt.end(AttemptResult(Outcome.NOT_SENT))
-        else:
-            self._pool.start(attempt)
+        refusal = active_request.refusal(None, now)
+        if refusal is not None:
+            self._metrics.attempts_refused[refusal] += 1
+            if self._request_log.enabled:
+                self._request_log.refused(active_request, attempt, refusal)
+            attempt.end(refused_result(refusal))
+            return
+        if self._request_log.enabled:
+            self._request_log.started(active_request, attempt, now)
+        self._pool.start(attempt)
 
     def _cancel_attempt(self, action: CancelAttempt) -> None:
         active_request = self._registry.find(action.request_id)
@@ -112,12 +124,15 @@
         headers = b""
         if action.retry_after > 0:
             headers = b"Retry-After: %.3f\r\n" % action.retry_after
-        self._answer(action.request_id, HTTPStatus.TOO_MANY_REQUESTS, headers)
+        self._answer(action.request_id, HTTPStatus.TOO_MANY_REQUESTS, action.reason, headers)
 
-    def _answer(self, request_id: int, status: HTTPStatus, headers: bytes = b"") -> None:
+    def _answer(self, request_id: int, status: HTTPStatus, reason: Reason, headers: bytes = b"") -> None:
         """Send a final response without a body; ignored if the request has had one."""
         active_request = self._registry.find_unanswered(request_id)
         if active_request is not None:
+            self._metrics.answers_without_endpoint[reason] += 1
+            if self._request_log.enabled:
+                self._request_log.answered(active_request, status, reason)
             self._registry.finish(active_request, status, b"", headers)
             self._registry.remove_if_complete(active_request)
 
--- a/quota_gateway/dispatch/active_request.py
+++ b/quota_gateway/dispatch/active_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from http import HTTPStatus
 from typing import Protocol
 
@@ -11,6 +12,7 @@
 from quota_gateway.model.actions import StartAttempt
 from quota_gateway.model.events import RequestReceived
 from quota_gateway.model.outcomes import Outcome
+from quota_gateway.policy.permissions import Refusal, attempt_refusal
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
 
 # Seconds before the client's timeout at which the policy engine's deadline ends. The budget runs from the
@@ -20,9 +22,6 @@
 WATCHDOG_MARGIN = 0.05
 MAX_MARGIN_FRACTION = 0.25  # of the budget; bounds the response margin of a short one
 BODY_UPLOAD_TIMEOUT = 900.0  # seconds for a streamed body; the downstream side ends one that stalls
-# Seconds after a request's last byte in which an attempt starts without a check whether the client is still
-# connected: the read itself has just shown that.
-DISCONNECT_CHECK_DELAY = 0.01
 
 
 class AttemptObserver(Protocol):
@@ -106,13 +105,26 @@
             request.body_stream is not None,
         )
 
-    def may_begin(self, now: float) -> bool:
-        """Return False if an attempt must not start because the client has closed its side."""
-        if self.attempt_start_limit is not None:
-            return now < self.attempt_start_limit
-        if now - self.request.received_at < DISCONNECT_CHECK_DELAY:
-            return True
-        return self.response is None or not self.response.client_disconnected()
+    @property
+    def arrived_at(self) -> float:
+        """When the request's last byte came, in seconds."""
+        return self.request.received_at
+
+    @property
+    def client_deadline(self) -> float:
+        """Until when the client waits, in seconds; infinite while its body is still on its way."""
+        body_stream = self.request.body_stream
+        if body_stream is not None and not body_stream.is_complete:
+            return math.inf
+        return self.request.received_at + self.request.budget
+
+    def client_disconnected(self) -> bool:
+        """Return True if the client has closed its side."""
+        return self.response is not None and self.response.client_disconnected()
+
+    def refusal(self, send_deadline: float | None, now: float) -> Refusal | None:
+        """Return why an attempt may not be sent now, None if it may."""
+        return attempt_refusal(self, send_deadline, now)
 
     def add_attempt(self, action: StartAttempt, now: float) -> UpstreamAttempt:
         """Create the attempt that the policy engine asks for; it is in flight but not yet started."""
--- a/quota_gateway/dispatch/attempt_handler.py
+++ b/quota_gateway/dispatch/attempt_handler.py
@@ -7,7 +7,9 @@
 
 from quota_gateway.body_streaming import ResponseHead, StreamSink
 from quota_gateway.dispatch.active_request import ActiveRequest
+from quota_gateway.dispatch.request_log import RequestLog
 from quota_gateway.dispatch.request_registry import RequestRegistry
+from quota_gateway.metrics import Metrics
 from quota_gateway.model.events import AttemptEnded, Event, ResponseStreamStarted
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
@@ -25,8 +27,12 @@
         post: Callable[[Event], None],
         clock: Callable[[], float],
         max_request_units: float,
+        metrics: Metrics,
+        request_log: RequestLog,
     ) -> None:
         """Create a handler that posts events by `post`; more units than the maximum are disregarded."""
+        self._metrics = metrics
+        self._request_log = request_log
         self._registry = registry
         self._post = post
         self._clock = clock
@@ -37,6 +43,9 @@
     ) -> None:
         """Answer the request if the attempt decides its response, and report the end."""
         active_request.in_flight -= 1
+        self._metrics.attempts_ended[result.outcome] += 1
+        if self._request_log.enabled:
+            self._request_log.ended(active_request, attempt, result)
         self._answer(active_request, attempt, result)
         elapsed = self._clock() - attempt.waiting_since
         # no request has more units, so an endpoint that reports more is wrong
--- a/quota_gateway/dispatch/dispatcher.py
+++ b/quota_gateway/dispatch/dispatcher.py
@@ -21,6 +21,7 @@
 from quota_gateway.dispatch.attempt_handler import AttemptHandler
 from quota_gateway.dispatch.client_request import ClientRequest, ResponseChannel
 from quota_gateway.dispatch.endpoint_updates import update_pool
+from quota_gateway.dispatch.request_log import RequestLog
 from quota_gateway.dispatch.request_registry import RequestRegistry
 from quota_gateway.engine.policy_engine import PolicyEngine
 from quota_gateway.metrics import Metrics
@@ -64,11 +65,20 @@
         self.metrics = Metrics(request_class.name for request_class in engine.settings.request_classes)
         self.submitted_count = 0
         self._loop = asyncio.get_running_loop()
-        self._registry = RequestRegistry(clock, self.metrics)
+        self.invariants = pool.invariants
+        self._request_log = RequestLog()
+        self._registry = RequestRegistry(clock, self.metrics, self.invariants)
         self._attempt_handler = AttemptHandler(
-            self._registry, self.post, clock, engine.settings.max_request_units
+            self._registry,
+            self.post,
+            clock,
+            engine.settings.max_request_units,
+            self.metrics,
+            self._request_log,
+        )
+        self._executor = ActionExecutor(
+            self, self._registry, pool, clock, self._loop, self.metrics, self._request_log
         )
-        self._executor = ActionExecutor(self, self._registry, pool, clock, self._loop)
         self._event_queue: deque[QueuedEvent] = deque()
         self._is_handling_events = False
 
@@ -92,6 +102,8 @@
         self.submitted_count += 1
         active_request = ActiveRequest(self.submitted_count, request, response, self._attempt_handler)
         self._registry.add(active_request)
+        if self._request_log.enabled:
+            self._request_log.received(active_request, self.clock())
         if request.body_stream is None:
             self._start_watchdog(active_request)
         else:
@@ -118,6 +130,8 @@
         """Answer a request that can't be served to its end; a status of None sends no response."""
         active_request = self._registry.find_unanswered(request_id)
         if active_request is not None:
+            if self._request_log.enabled:
+                self._request_log.answered(active_request, status, "abandoned")
             self._registry.finish(active_request, status)
             self.post(ClientDisconnected(request_id))
             self._registry.remove_if_complete(active_request)
@@ -135,6 +149,8 @@
         active_request = self._registry.find(request_id)
         if active_request is not None and active_request.attempt_start_limit is None:
             active_request.attempt_start_limit = start_limit
+            if self._request_log.enabled:
+                self._request_log.half_closed(active_request, start_limit, self.clock())
 
     def client_half_closed(self, request_id: int) -> None:
         """Start no attempt for a request from now on; what was sent may still be answered."""
@@ -201,6 +217,8 @@
             "concurrent": self.unanswered_count,
             "targets": len(self.engine.endpoints),
             "targets_disabled": self.engine.unavailable_endpoints(),
+            "violations": sum(self.invariants.violations.values()),
+            **{f"violations.{name}": count for name, count in self.invariants.violations.items()},
         }
 
     def fail_all_unanswered(self) -> None:
--- a/quota_gateway/dispatch/request_registry.py
+++ b/quota_gateway/dispatch/request_registry.py
@@ -6,19 +6,21 @@
 from collections.abc import Callable
 
 from quota_gateway.dispatch.active_request import ActiveRequest
+from quota_gateway.invariants import ANSWER_SLACK, Invariant, InvariantMonitor
 from quota_gateway.metrics import Metrics
 
 
 class RequestRegistry:
     """All requests that wait for their response or still have attempts in flight."""
 
-    def __init__(self, clock: Callable[[], float], metrics: Metrics) -> None:
+    def __init__(self, clock: Callable[[], float], metrics: Metrics, invariants: InvariantMonitor) -> None:
         """Create an empty registry that counts finished requests in `metrics`."""
         self.active_requests: dict[int, ActiveRequest] = {}
         self.open_call_ids: set[bytes] = set()  # the call ids that clients gave these requests
         self.unanswered_count = 0
         self._clock = clock
         self._metrics = metrics
+        self._invariants = invariants
         self._all_answered = asyncio.Event()
 
     def add(self, active_request: ActiveRequest) -> None:
@@ -42,8 +44,14 @@
         self, active_request: ActiveRequest, status: int | None, body: bytes = b"", headers: bytes = b""
     ) -> None:
         """Answer an unanswered request; a status of None sends nothing, as its client has disconnected."""
+        if active_request.answered:
+            self._invariants.violated(Invariant.ANSWERED_ONCE, active_request)
+            return
         active_request.answered = True
         self.unanswered_count -= 1
+        is_late = self._clock() > active_request.client_deadline + ANSWER_SLACK
+        if is_late and status is not None and active_request.streaming_attempt is None:
+            self._invariants.violated(Invariant.ANSWERED_IN_TIME, active_request)
         if status is not None:
             self._metrics.request_ended(active_request.request.request_class, status)
         if not self.unanswered_count:
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -17,6 +17,8 @@
 from quota_gateway.downstream.response_queue import FlushResult, ResponseQueue
 from quota_gateway.downstream.response_writer import ResponseWriter
 from quota_gateway.errors import InvalidRequestError
+from quota_gateway.invariants import Invariant
+from quota_gateway.policy.permissions import may_close_client
 from quota_gateway.sockets.kernel_state import has_peer_closed
 
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on one connection; further ones stay unread
@@ -198,7 +200,7 @@
                 requests.abort_request(InvalidRequestError(408, "the request did not come whole in time"))
         elif self.is_idle():
             timeout = idle_timeout if requests.any_request_started else READ_TIMEOUT
-            if now - self.idle_since > timeout and not self.has_unread_input():
+            if may_close_client(self, timeout, now):
                 self.drop()
 
     def is_reading_request(self) -> bool:
@@ -207,6 +209,29 @@
             return False
         return self.responses.is_first(self.requests.streaming_writer)
 
+    def is_in_partial_request(self) -> bool:
+        """Return True if a request is partly read, and nothing else is in flight here."""
+        return self.in_request and not (self.responses or self.closing or self.unread)
+
+    def last_used_at(self) -> float:
+        """Return when the connection last carried bytes of a request or a response, in seconds."""
+        return max(self.idle_since, self.requests.received_at)
+
+    def end(self) -> None:
+        """Close after the last response."""
+        self.check_close()
+        super().end()
+
+    def drop(self) -> None:
+        """Close at once a connection that awaits no response, or that had its time to read one."""
+        self.check_close()
+        super().drop()
+
+    def check_close(self) -> None:
+        """Check the invariant that no request is left without its response."""
+        if any(self.responses.unanswered()):
+            self.listener.dispatcher.invariants.violated(Invariant.CLOSED_ANSWERED, self)
+
     def is_idle(self) -> bool:
         """Return True if no request is in flight here or partly read."""
         return not (self.responses or self.closing or self.unread or self.in_request)
--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -16,6 +16,7 @@
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
 from quota_gateway.downstream.request_router import RequestRouter
 from quota_gateway.model.settings import Settings
+from quota_gateway.policy.permissions import may_close_client
 from quota_gateway.sockets.dialing import RETRY_DELAY, SYSTEM_SHORTAGE_ERRNOS
 
 SWEEP_INTERVAL = 0.1  # seconds between checks of the connections' timeouts
@@ -216,7 +217,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request; what already waits there is read and answered first."""
         for connection in list(self.connections):
-            if connection.is_idle() and not connection.has_unread_input():
+            if may_close_client(connection, 0.0, self.clock()):
                 connection.end()
 
     def close(self) -> None:
--- a/quota_gateway/metrics.py
+++ b/quota_gateway/metrics.py
@@ -4,6 +4,10 @@
 
 from collections.abc import Iterable, Mapping
 
+from quota_gateway.model.actions import Reason
+from quota_gateway.model.outcomes import Outcome
+from quota_gateway.policy.permissions import Refusal
+
 METRIC_PREFIX = "svc"
 
 # The protocol's meaning of a response status; any status that is in neither set is an error.
@@ -11,6 +15,11 @@
 OVERLOAD_STATUSES = frozenset({429, 503})
 
 
+def metric_lines(name: str, counts: Mapping[str, int]) -> list[str]:
+    """Return a line for each count of a family of counters, without the prefix."""
+    return [f"{name}.{label}={count}" for label, count in counts.items()]
+
+
 class Metrics:
     """Counts each request once, when it ends, under its request class."""
 
@@ -19,6 +28,9 @@
         self.success = dict.fromkeys(request_classes, 0)
         self.overload = dict.fromkeys(self.success, 0)
         self.error = dict.fromkeys(self.success, 0)
+        self.answers_without_endpoint = dict.fromkeys(Reason, 0)
+        self.attempts_refused = dict.fromkeys(Refusal, 0)
+        self.attempts_ended = dict.fromkeys(Outcome, 0)
         self.reload_success = 0
         self.reload_failure = 0
 
@@ -41,11 +53,11 @@
     def text(self, gauges: Mapping[str, int]) -> str:
         """Return one `name=value` a line: the counters, with the current `gauges` among them."""
         counters = {"success": self.success, "overload": self.overload, "error": self.error}
-        lines = [
-            f"{name}.{request_class}={count}"
-            for name, counts_by_class in counters.items()
-            for request_class, count in counts_by_class.items()
-        ]
+        lines = [line for name, counts in counters.items() for line in metric_lines(name, counts)]
+        lines += metric_lines("rejected", self.answers_without_endpoint)
+        lines += metric_lines("attempts_refused", self.attempts_refused)
+        ended = {outcome.name.lower(): count for outcome, count in self.attempts_ended.items()}
+        lines += metric_lines("attempts_ended", ended)
         lines += [f"{name}={value}" for name, value in gauges.items()]
         lines.append(f"reload_success={self.reload_success}")
         lines.append(f"reload_failure={self.reload_failure}")
--- a/quota_gateway/model/actions.py
+++ b/quota_gateway/model/actions.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import StrEnum
 
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.timers import Timer
@@ -10,6 +11,18 @@
 # Requests
 
 
+class Reason(StrEnum):
+    """Why a request gets a final response that no endpoint made; the values are names of metrics."""
+
+    INVALID = "invalid"  # it names no class or plan of the settings, or has no time left
+    QUOTA = "quota"  # its customer has no units left, here or, by the counter, anywhere
+    OVERLOAD = "overload"  # load is shed
+    NO_ENDPOINT = "no_endpoint"  # none may be sent the attempt now
+    LATE_RETRY = "late_retry"  # a client's retry whose answer would come too late to be of use
+    NO_RETRY = "no_retry"  # an attempt failed, and there is no time or budget for another
+    CLIENT_GONE = "client_gone"  # its client has ended its sending
+
+
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
     """Forward a request to an endpoint; the attempts of a request are numbered from 0 in order of start.
@@ -37,6 +50,7 @@
 
     request_id: int
     retry_after: float
+    reason: Reason = field(default=Reason.INVALID, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +58,7 @@
     """Final response: the request failed, and may have been executed."""
 
     request_id: int
+    reason: Reason = field(default=Reason.NO_RETRY, compare=False)
 
 
 # Timers and services
--- a/quota_gateway/policy/attempt_results.py
+++ b/quota_gateway/policy/attempt_results.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from quota_gateway.model.actions import Reason
 from quota_gateway.model.events import AttemptEnded, ResponseStreamStarted
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.policy import outlier_detection
@@ -85,7 +86,7 @@
         in_time = end - self.context.now > self.latency.expected(request)
         affordable = free or self.forwarder.retry_budget.is_available()
         if outcome is Outcome.TIMED_OUT or not in_time or not affordable:
-            self.forwarder.answer(request, PERIOD)
+            self.forwarder.answer(request, PERIOD, Reason.NO_RETRY)
             return
         if not free:
             self.forwarder.retry_budget.withdraw()
--- a/quota_gateway/policy/forwarding.py
+++ b/quota_gateway/policy/forwarding.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from quota_gateway.model.actions import CancelAttempt, FailRequest, Reject, StartAttempt
+from quota_gateway.model.actions import CancelAttempt, FailRequest, Reason, Reject, StartAttempt
 from quota_gateway.model.timers import LateAttemptTimer
 from quota_gateway.policy.admission import LATE_FRACTION, AdmissionController
 from quota_gateway.policy.fine_grained_quota import FineGrainedQuota
@@ -38,13 +38,13 @@
         if endpoint is not None and self.balancer.may_send(request, endpoint):
             self._start(request, endpoint)
         else:
-            self._give_up(request)
+            self._give_up(request, Reason.OVERLOAD if shed else Reason.NO_ENDPOINT)
 
-    def _give_up(self, request: PendingRequest) -> None:
+    def _give_up(self, request: PendingRequest, reason: Reason) -> None:
         if request.is_charged and not request.attempts:
             request.limiter.give_back(request.units)
             self.fine_grained.request_withdrawn(request)
-        self.answer_for_quota(request, PERIOD)
+        self.answer_with_advice(request, PERIOD, reason)
 
     def _start(self, request: PendingRequest, endpoint: EndpointState) -> None:
         if not request.attempts:
@@ -79,7 +79,7 @@
         until = max(useful_until(request), now + LATE_FRACTION * request.latency_objective)
         return min(request.request.deadline, until) - now
 
-    def answer(self, request: PendingRequest, retry_after: float) -> None:
+    def answer(self, request: PendingRequest, retry_after: float, reason: Reason) -> None:
         """Reject or fail a request that is not served; `retry_after` is in seconds."""
         if request.answered or request.streaming:
             return
@@ -87,20 +87,20 @@
         if client_may_repeat(request):
             settings = self.context.settings
             longest = settings.max_retry_after if settings.retry_after_allowed else 0.0
-            self.context.emit(Reject(request.id, min(max(retry_after, 0.0), longest)))
+            self.context.emit(Reject(request.id, min(max(retry_after, 0.0), longest), reason))
         else:
-            self.context.emit(FailRequest(request.id))
+            self.context.emit(FailRequest(request.id, reason))
         self.cancel_attempts(request)
         self.forget_if_finished(request)
 
-    def answer_for_quota(self, request: PendingRequest, wait: float) -> None:
-        """Reject a request without quota; Retry-After is the wait for it, if a retry is in time then.
+    def answer_with_advice(self, request: PendingRequest, wait: float, reason: Reason) -> None:
+        """Reject a request; Retry-After is the wait for what it lacks here, if a retry is in time then.
 
         If not, it is short: another gateway may have quota, or an endpoint a free slot.
         """
         remaining = useful_until(request) - self.context.now - self.latency.expected(request)
         soon = SOON_FRACTION * request.latency_objective
-        self.answer(request, wait if wait <= remaining else soon)
+        self.answer(request, wait if wait <= remaining else soon, reason)
 
     def cancel_attempts(self, request: PendingRequest) -> None:
         """Cancel the attempts in flight, if the settings allow it and no response is being streamed."""
--- a/quota_gateway/policy/request_lifecycle.py
+++ b/quota_gateway/policy/request_lifecycle.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from quota_gateway.model.actions import Reject
+from quota_gateway.model.actions import Reason, Reject
 from quota_gateway.model.events import RequestReceived
 from quota_gateway.policy.admission import AdmissionController
 from quota_gateway.policy.latency_estimates import LatencyEstimates, useful_until
@@ -48,7 +48,7 @@
     def _limit(self, request: PendingRequest) -> None:
         limiter = request.limiter
         if self._is_late_retry(request) and not self._has_spare_quota(request):
-            self.queue.forwarder.answer(request, PERIOD)
+            self.queue.forwarder.answer(request, PERIOD, Reason.LATE_RETRY)
             return
         max_wait = self.queue.set_deadline(request)
         if limiter.is_fine_grained:
@@ -56,7 +56,7 @@
         else:
             self.quota.schedule_report(limiter)
         if request.reported_units < 0 and not request.admitted_unsampled:
-            self.queue.forwarder.answer_for_quota(request, PERIOD)
+            self.queue.forwarder.answer_with_advice(request, PERIOD, Reason.QUOTA)
             return
         self.queue.admit(request, max_wait)
 
@@ -95,5 +95,5 @@
         request.not_resendable = True
         self.queue.remove(request)
         if not request.in_flight:
-            self.queue.forwarder.answer(request, PERIOD)
+            self.queue.forwarder.answer(request, PERIOD, Reason.CLIENT_GONE)
         self.queue.release(request.limiter)
--- a/quota_gateway/policy/request_queue.py
+++ b/quota_gateway/policy/request_queue.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from quota_gateway.model.actions import Reason
 from quota_gateway.model.timers import QueueTimeoutTimer, ReleaseQueueTimer
 from quota_gateway.policy.admission import AdmissionController
 from quota_gateway.policy.fine_grained_quota import FineGrainedQuota
@@ -106,4 +107,4 @@
             request.over_quota = True
             self.forwarder.forward(request)
         else:
-            self.forwarder.answer_for_quota(request, wait)
+            self.forwarder.answer_with_advice(request, wait, Reason.QUOTA)
--- a/quota_gateway/upstream/attempt.py
+++ b/quota_gateway/upstream/attempt.py
@@ -13,6 +13,7 @@
 
 from quota_gateway.body_streaming import RequestBodyStream, ResponseHead, StreamSink, StreamSource
 from quota_gateway.model.outcomes import Outcome
+from quota_gateway.policy.permissions import Refusal
 
 MIN_TIME_BUDGET = 0.001  # seconds; X-Budget has three decimals, and 0 would say that no time is left
 
@@ -27,14 +28,28 @@
     headers: bytes = b""  # the header lines that are forwarded with the body
 
 
+def refused_result(refusal: Refusal) -> AttemptResult:
+    """Return the result of an attempt that may not be sent."""
+    # by then the time for a repeat is over, which says nothing of the client
+    outcome = Outcome.CONNECT_FAILED if refusal is Refusal.WINDOW_OVER else Outcome.NOT_SENT
+    return AttemptResult(outcome)
+
+
 class AttemptOwner(Protocol):
-    """The request that an attempt belongs to."""
+    """The request that an attempt belongs to; times are seconds."""
+
+    answered: bool
+    attempt_start_limit: float | None  # set when the client half-closes
+
+    @property
+    def client_deadline(self) -> float:
+        """Until when the client waits; infinite while its body is still on its way."""
 
     def attempt_ended(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Take the result; called exactly once for each attempt."""
 
-    def may_begin(self, now: float) -> bool:
-        """Return whether an attempt may still be sent, asked again after a connect."""
+    def refusal(self, send_deadline: float | None, now: float) -> Refusal | None:
+        """Return why an attempt may not be sent, asked again after a connect; None if it may."""
 
 
 class AttemptConnection(StreamSource, Protocol):
@@ -86,10 +101,6 @@
         """When the wait for the response began: after the last byte, as a long body takes time to send."""
         return self.started_at if self.written_at is None else self.written_at
 
-    def may_be_sent(self, now: float) -> bool:
-        """Return whether a send that had to wait for a connect is still in time."""
-        return self.send_deadline is None or now < self.send_deadline
-
     def time_budget(self, now: float) -> float:
         """Return the seconds left to the endpoint."""
         return max(self.deadline - now, MIN_TIME_BUDGET)
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -34,6 +34,9 @@
     def connection_closed(self, connection: UpstreamConnection) -> None:
         """Take note of the end of a connection, established or not."""
 
+    def check_send(self, attempt: UpstreamAttempt, endpoint: EndpointConnections, now: float) -> None:
+        """Check the invariants of an attempt that is about to be written."""
+
     def release(self, connection: UpstreamConnection) -> None:
         """Take back a connection that is fit for another attempt."""
 
@@ -76,6 +79,7 @@
     def send_attempt(self, attempt: UpstreamAttempt, now: float) -> None:
         """Send the attempt's request, of a streamed body as much as there is."""
         assert self.transport is not None
+        self.pool.check_send(attempt, self.endpoint, now)
         self.attempt = attempt
         attempt.connection = self
         self._response.reset()
--- a/quota_gateway/upstream/connection_pool.py
+++ b/quota_gateway/upstream/connection_pool.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable, Iterable
 
 from quota_gateway.body_streaming import READ_BUFFER_BYTES
+from quota_gateway.invariants import DEADLINE_SLACK, START_SLACK, Invariant, InvariantMonitor
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.sockets.addresses import Address
 from quota_gateway.sockets.dialing import connect_with_retry, ignore_descriptor_exhaustion
-from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
+from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt, refused_result
 from quota_gateway.upstream.connection import UpstreamConnection
 from quota_gateway.upstream.endpoint_connections import EndpointConnections
 from quota_gateway.upstream.idle_timeout import AdaptiveIdleTimeout
@@ -36,6 +37,7 @@
         self.loop = asyncio.get_running_loop()
         self.read_buffer = bytearray(READ_BUFFER_BYTES)
         self.on_descriptor_exhaustion = ignore_descriptor_exhaustion
+        self.invariants = InvariantMonitor()
         self.attempts_written = 0  # attempts whose last byte the kernel has taken
         self.endpoints: dict[str, EndpointConnections] = {}  # by endpoint id
         self.connections: set[UpstreamConnection] = set()
@@ -125,7 +127,7 @@
         try:
             async with asyncio.timeout(self.connect_timeout):
                 await connect_with_retry(lambda: connection, endpoint.address, self.on_descriptor_exhaustion)
-            is_ready = connection.is_open() and attempt.may_be_sent(self.clock())
+            is_ready = connection.is_open()
         except (OSError, TimeoutError):
             pass  # refused, unreachable or not established in time: the attempt ends below
         finally:
@@ -136,11 +138,30 @@
         owner = attempt.owner
         if not is_ready or owner is None:
             attempt.end(AttemptResult(Outcome.CONNECT_FAILED))
-        elif owner.may_begin(self.clock()):
-            connection.send_attempt(attempt, self.clock())
-        else:
+        elif (refusal := owner.refusal(attempt.send_deadline, self.clock())) is not None:
             connection.close()
-            attempt.end(AttemptResult(Outcome.NOT_SENT))
+            attempt.end(refused_result(refusal))
+        else:
+            connection.send_attempt(attempt, self.clock())
+
+    def check_send(self, attempt: UpstreamAttempt, endpoint: EndpointConnections, now: float) -> None:
+        """Check the invariants of an attempt that is about to be written."""
+        owner = attempt.owner
+        violated = self.invariants.violated
+        if attempt.connection is not None:
+            violated(Invariant.SENT_ONCE, attempt)
+        if self.endpoints.get(endpoint.endpoint_id) is not endpoint:
+            violated(Invariant.SENT_TO_LISTED, attempt)
+        if owner is None or owner.answered:
+            violated(Invariant.SENT_UNANSWERED, attempt)
+            return
+        client_deadline = owner.client_deadline
+        if now >= client_deadline:
+            violated(Invariant.SENT_IN_TIME, attempt)
+        if attempt.body_stream is None and attempt.deadline > client_deadline + DEADLINE_SLACK:
+            violated(Invariant.TOLD_IN_TIME, attempt)
+        if owner.attempt_start_limit is not None and now > owner.attempt_start_limit + START_SLACK:
+            violated(Invariant.SENT_TO_PRESENT, attempt)
 
     # Connections.
 
--- a/tests/upstream_harness.py
+++ b/tests/upstream_harness.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 from quota_gateway.model.outcomes import Outcome
+from quota_gateway.policy.permissions import Refusal
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
 from quota_gateway.upstream.connection_pool import ConnectionPool
 from tests.fakes import HOST, FakeBackend, HttpMessage, ResponseStep
@@ -24,14 +26,19 @@
 class RecordingOwner:
     """An attempt's owner, which keeps the result for the test."""
 
+    answered = False
+    attempt_start_limit: float | None = None
+    client_deadline = math.inf
+
     def __init__(self) -> None:
         self.result: asyncio.Future[AttemptResult] = asyncio.get_running_loop().create_future()
 
     def attempt_ended(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         self.result.set_result(result)
 
-    def may_begin(self, now: float) -> bool:
-        return True
+    def refusal(self, send_deadline: float | None, now: float) -> Refusal | None:
+        is_over = send_deadline is not None and now >= send_deadline
+        return Refusal.WINDOW_OVER if is_over else None
 
 
 class StartedAttempt(NamedTuple):
