--- a/quota_gateway/dispatch/client_request.py
+++ b/quota_gateway/dispatch/client_request.py
@@ -25,6 +25,7 @@
     head: bytes  # request line and headers for an endpoint, without the budget and the blank line
     body: bytes
     body_stream: RequestBodyStream | None = None  # takes the place of `body` for a long one
+    read_at: float = 0.0  # when its last byte was read here, which may be some time after it came
 
 
 class ResponseChannel(StreamSink, Protocol):
--- a/quota_gateway/dispatch/request_registry.py
+++ b/quota_gateway/dispatch/request_registry.py
@@ -45,13 +45,15 @@
     ) -> None:
         """Answer an unanswered request; a status of None sends nothing, as its client has disconnected."""
         if active_request.answered:
-            self._invariants.violated(Invariant.ANSWERED_ONCE, active_request)
+            self._invariants.violated(Invariant.ANSWERED_ONCE, active_request.request.call_id)
             return
         active_request.answered = True
         self.unanswered_count -= 1
-        is_late = self._clock() > active_request.client_deadline + ANSWER_SLACK
+        # one that was late when it was read is answered then
+        due = max(active_request.client_deadline, active_request.request.read_at)
+        is_late = self._clock() > due + ANSWER_SLACK
         if is_late and status is not None and active_request.streaming_attempt is None:
-            self._invariants.violated(Invariant.ANSWERED_IN_TIME, active_request)
+            self._invariants.violated(Invariant.ANSWERED_IN_TIME, active_request.request.call_id)
         if status is not None:
             self._metrics.request_ended(active_request.request.request_class, status)
         if not self.unanswered_count:
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -229,8 +229,9 @@
 
     def check_close(self) -> None:
         """Check the invariant that no request is left without its response."""
-        if any(self.responses.unanswered()):
-            self.listener.dispatcher.invariants.violated(Invariant.CLOSED_ANSWERED, self)
+        unanswered = list(self.responses.unanswered())
+        if unanswered:
+            self.listener.dispatcher.invariants.violated(Invariant.CLOSED_ANSWERED, unanswered)
 
     def is_idle(self) -> bool:
         """Return True if no request is in flight here or partly read."""
--- a/quota_gateway/downstream/request_parser.py
+++ b/quota_gateway/downstream/request_parser.py
@@ -136,6 +136,7 @@
             head=b"\r\n".join(head),
             body=body,
             body_stream=RequestBodyStream(length, budget) if streamed else None,
+            read_at=reader.received_at,
         )
 
     def parse_class(self, headers: dict[bytes, bytes], method: bytes) -> RequestClass:
--- a/quota_gateway/upstream/connection_pool.py
+++ b/quota_gateway/upstream/connection_pool.py
@@ -149,19 +149,19 @@
         owner = attempt.owner
         violated = self.invariants.violated
         if attempt.connection is not None:
-            violated(Invariant.SENT_ONCE, attempt)
+            violated(Invariant.SENT_ONCE, attempt.head)
         if self.endpoints.get(endpoint.endpoint_id) is not endpoint:
-            violated(Invariant.SENT_TO_LISTED, attempt)
+            violated(Invariant.SENT_TO_LISTED, attempt.head)
         if owner is None or owner.answered:
-            violated(Invariant.SENT_UNANSWERED, attempt)
+            violated(Invariant.SENT_UNANSWERED, attempt.head)
             return
         client_deadline = owner.client_deadline
         if now >= client_deadline:
-            violated(Invariant.SENT_IN_TIME, attempt)
+            violated(Invariant.SENT_IN_TIME, attempt.head)
         if attempt.body_stream is None and attempt.deadline > client_deadline + DEADLINE_SLACK:
-            violated(Invariant.TOLD_IN_TIME, attempt)
+            violated(Invariant.TOLD_IN_TIME, attempt.head)
         if owner.attempt_start_limit is not None and now > owner.attempt_start_limit + START_SLACK:
-            violated(Invariant.SENT_TO_PRESENT, attempt)
+            violated(Invariant.SENT_TO_PRESENT, attempt.head)
 
     # Connections.
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,98 @@
+"""`python -m tests.soak --seeds A..B`: plays a run for each seed and prints the broken invariants."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import shutil
+import sys
+import tempfile
+import time
+
+from tests.soak.control import Control
+from tests.soak.oracle import Oracle, Violation, read_history
+from tests.soak.plan import RunSize
+
+MAX_STORIES = 3  # printed for each invariant of a run
+MAX_PROCESSES = 200
+
+
+def parse_seeds(text: str) -> range:
+    """Parse `A..B` or `A`; raises ValueError for anything else."""
+    first, separator, last = text.partition("..")
+    return range(int(first), (int(last) if separator else int(first)) + 1)
+
+
+def parse_arguments(words: list[str]) -> argparse.Namespace:
+    """Parse the command line; a wrong one ends the program with one line and status 2."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
+    parser.add_argument("--seeds", type=parse_seeds, default=range(1, 2), help="A..B, each a run")
+    parser.add_argument("--seconds", type=float, default=20.0, help="that the clients of a run play")
+    parser.add_argument("--gateways", type=int, default=6)
+    parser.add_argument("--backend-processes", type=int, default=4)
+    parser.add_argument("--client-processes", type=int, default=4)
+    parser.add_argument("--clients-each", type=int, default=8)
+    parser.add_argument("--keep", type=pathlib.Path, help="a folder for the logs of runs with violations")
+    arguments = parser.parse_args(words)
+    processes = 2 * arguments.gateways + arguments.backend_processes + arguments.client_processes + 2
+    if not 0 < arguments.seconds <= 600 or processes > MAX_PROCESSES or arguments.gateways < 1:
+        parser.error(f"from 1 gateway to {MAX_PROCESSES} processes, and at most 600 seconds")
+    return arguments
+
+
+def print_violations(seed: int, violations: list[Violation]) -> None:
+    """Print each broken invariant with some of its stories."""
+    by_invariant = collections.defaultdict(list)
+    for violation in violations:
+        by_invariant[violation.invariant].append(violation)
+    for invariant, found in by_invariant.items():
+        print(f"seed {seed}: {invariant}: {len(found)}")
+        for violation in found[:MAX_STORIES]:
+            print(f"  {violation.subject}: {violation.detail}")
+            for event in violation.story:
+                print(f"    {event.at:.4f} {event.source:16} {event.name} {event.fields}")
+
+
+def play(seed: int, size: RunSize, keep: pathlib.Path | None) -> int:
+    """Play one run, print what it found, and return the number of violations."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    began_at = time.monotonic()
+    asyncio.run(Control(seed, size, folder).run())
+    history = read_history(folder)
+    violations = Oracle(history, size).check()
+    answers = collections.Counter(event.fields["status"] for event in history.named("answer"))
+    troubles = len(history.named("trouble"))
+    processes = len({event.source for event in history.events})
+    requests = len(history.named("sent"))
+    print(
+        f"seed {seed}: {requests} requests, {dict(sorted(answers.items()))}, {troubles} troubles, "
+        f"{processes} processes, {time.monotonic() - began_at:.0f} s, {len(violations)} violations",
+        flush=True,
+    )
+    print_violations(seed, violations)
+    if violations and keep is not None:
+        shutil.copytree(folder, keep / folder.name, ignore=shutil.ignore_patterns("shared-*"))
+    shutil.rmtree(folder)
+    return len(violations)
+
+
+def main() -> int:
+    """Play all runs; the status is 1 where an invariant was broken."""
+    arguments = parse_arguments(sys.argv[1:])
+    size = RunSize(
+        gateways=arguments.gateways,
+        backend_processes=arguments.backend_processes,
+        backends_each=2,
+        client_processes=arguments.client_processes,
+        clients_each=arguments.clients_each,
+        seconds=arguments.seconds,
+    )
+    violations = sum(play(seed, size, arguments.keep) for seed in arguments.seeds)
+    print(f"{len(arguments.seeds)} runs, {violations} violations")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/backends.py
@@ -0,0 +1,103 @@
+"""Backends of a run, some of them in each worker process; they misbehave as the run's control tells them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from enum import StrEnum
+from typing import Any
+
+from tests.fakes import FakeServer, HttpMessage, http_response, read_message
+from tests.soak.event_log import EventLog
+
+MEAN_SERVICE_TIME = 0.02  # seconds
+LONG_BODY_FRACTION = 0.01  # of the responses
+LONG_BODY = b"z" * 150_000
+
+
+class Mode(StrEnum):
+    """How a backend behaves."""
+
+    SERVES = "serves"
+    HANGS = "hangs"
+    FAILS = "fails"
+    REJECTS = "rejects"
+    RESETS = "resets"  # connections, some of them in the middle of a response
+
+
+class SoakBackend(FakeServer):
+    """A backend that records each request it has read whole, and how it ended it."""
+
+    def __init__(self, name: str, log: EventLog, chance: random.Random) -> None:
+        super().__init__()
+        self.name = name
+        self.log = log
+        self.chance = chance
+        self.mode = Mode.SERVES
+        self.mode_changed = asyncio.Event()
+
+    def set_mode(self, mode: Mode) -> None:
+        """Behave differently from now on, also to requests that hang."""
+        self.mode = mode
+        self.mode_changed.set()
+        self.mode_changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the requests of one connection."""
+        while True:
+            request = await read_message(reader)
+            call = request.headers.get("x-call-id", "")
+            if self.mode is Mode.REJECTS and self.chance.random() < 0.8:
+                self.log.write("turned_away", call=call, backend=self.name)
+                writer.write(http_response(503, b"", "X-Rejected: 1"))
+                continue
+            self.log.write("ran", call=call, backend=self.name, told=float(request.headers["x-budget"]))
+            while self.mode is Mode.HANGS:
+                await self.mode_changed.wait()
+            await asyncio.sleep(self.chance.expovariate(1.0 / MEAN_SERVICE_TIME))
+            if self.respond(writer, request, call):
+                return
+
+    def respond(self, writer: asyncio.StreamWriter, request: HttpMessage, call: str) -> bool:
+        """Answer a request by the mode; return whether the connection is over."""
+        body = b"served " + call.encode()
+        if self.chance.random() < LONG_BODY_FRACTION:
+            body += LONG_BODY
+        if self.mode is Mode.RESETS and self.chance.random() < 0.7:
+            response = http_response(200, body)
+            writer.write(response[: self.chance.randrange(len(response))])
+            writer.transport.abort()
+            return True
+        status = 500 if self.mode is Mode.FAILS and self.chance.random() < 0.8 else 200
+        units = self.chance.choice(["1", "1", "2"])
+        writer.write(http_response(status, body, f"Billed-Units: {units}"))
+        return False
+
+
+async def control_lines() -> asyncio.StreamReader:
+    """Return standard input as a stream of the control's commands."""
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    return reader
+
+
+async def run(arguments: dict[str, Any], log: EventLog) -> None:
+    """Serve until standard input ends."""
+    backends = []
+    for name in arguments["names"]:
+        backend = SoakBackend(name, log, random.Random(f"{arguments['seed']} {name}"))
+        await backend.start()
+        backends.append(backend)
+    print(json.dumps([backend.address for backend in backends]), flush=True)
+    commands = await control_lines()
+    while line := await commands.readline():
+        command = json.loads(line)
+        backend = backends[command["backend"]]
+        if command.get("restart"):
+            for writer in list(backend.open_writers):
+                writer.transport.abort()
+        else:
+            backend.set_mode(Mode(command["mode"]))
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,197 @@
+"""Clients of a run: most behave, others leave, half-close, pipeline, write slowly or send no whole request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import time
+from typing import Any
+
+from tests.fakes import read_message
+from tests.harness import RESET_ON_CLOSE, request
+from tests.soak.event_log import EventLog
+
+REQUEST_CLASSES = ("lookup", "lookup", "report", "extract")
+BUDGETS = (0.4, 0.8, 1.5, 2.4)  # seconds
+MEAN_PAUSE = 0.12  # seconds between a client's requests
+READ_MARGIN = 2.0  # seconds after a request's time until its client stops to wait for an answer
+KEEP_FRACTION = 0.8  # of the requests, after which the connection is kept
+CONNECT_RETRY = 0.05  # seconds
+BAD_REQUESTS = (
+    b"GET /api HTTP/1.1\r\nX-Call",
+    b"nonsense\r\n\r\n",
+    b"POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nx",
+)
+BAD_REQUEST_TIME = 3.5  # seconds from the connect in which such a client gets an error or a close
+
+
+class SoakClient:
+    """One client, which goes to all gateways in turn."""
+
+    def __init__(self, name: str, arguments: dict[str, Any], log: EventLog) -> None:
+        self.name = name
+        self.gateways: list[tuple[str, int]] = arguments["gateways"]
+        self.log = log
+        self.chance = random.Random(f"{arguments['seed']} {name}")
+        self.count = 0
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+        self.gateway = 0
+        self.connection = 0  # counted over this client
+        self.requests_on_connection = 0
+        self.connected = False
+
+    async def run(self) -> None:
+        """Send requests until it is cancelled."""
+        while True:
+            await asyncio.sleep(self.chance.expovariate(1.0 / MEAN_PAUSE))
+            try:
+                if not self.connected:
+                    await self.connect()
+                await self.behave()
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                await self.disconnect()
+                await asyncio.sleep(CONNECT_RETRY)
+
+    async def connect(self) -> None:
+        """Connect to one of the gateways."""
+        self.gateway = self.chance.randrange(len(self.gateways))
+        self.reader, self.writer = await asyncio.open_connection(*self.gateways[self.gateway])
+        self.connected = True
+        self.connection += 1
+        self.requests_on_connection = 0
+
+    async def disconnect(self) -> None:
+        """Close the connection, if there is one."""
+        if self.connected:
+            self.connected = False
+            self.writer.close()
+
+    async def behave(self) -> None:
+        """Send one or some requests in a way that is drawn."""
+        draw = self.chance.random()
+        if draw < 0.68:
+            await self.exchange(1)
+        elif draw < 0.76:
+            await self.exchange(self.chance.randrange(2, 5))
+        elif draw < 0.90:
+            await self.leave()
+        elif draw < 0.95:
+            await self.exchange(1, slowly=True)
+        else:
+            await self.send_bad_request()
+        if self.chance.random() > KEEP_FRACTION:
+            await self.disconnect()
+
+    def next_request(self) -> tuple[str, bytes, float, str]:
+        """Return the id, the text, the time and the class of a new request."""
+        self.count += 1
+        number = (int(self.name) << 32) + self.count
+        budget = self.chance.choice(BUDGETS)
+        request_class = self.chance.choice(REQUEST_CLASSES)
+        customer = f"{self.chance.randrange(40):016x}"
+        text = request(number, request_class, budget, customer=customer)
+        return f"{number:016x}", text, budget, request_class
+
+    def note_sent(self, call: str, budget: float, request_class: str) -> None:
+        """Log a request whose last byte was written just now."""
+        self.requests_on_connection += 1
+        self.log.write(
+            "sent",
+            call=call,
+            budget=budget,
+            request_class=request_class,
+            gateway=self.gateway,
+            first=self.requests_on_connection == 1,
+            client=self.name,
+            connection=self.connection,
+        )
+
+    async def exchange(self, count: int, slowly: bool = False) -> None:
+        """Send requests at once, and read their answers in order."""
+        sent: list[tuple[str, float]] = []
+        for _ in range(count):
+            call, text, budget, request_class = self.next_request()
+            if slowly:
+                cut = self.chance.randrange(1, len(text) - 1)
+                self.writer.write(text[:cut])
+                await asyncio.sleep(0.3 * self.chance.random())
+                text = text[cut:]
+            self.writer.write(text)
+            self.note_sent(call, budget, request_class)
+            sent.append((call, time.monotonic() + budget))
+        for position, (call, ends_at) in enumerate(sent):
+            if not await self.read_answer(call, ends_at):
+                for later, _ in sent[position + 1 :]:
+                    self.log.write("closed", call=later)
+                raise ConnectionResetError
+
+    async def read_answer(self, call: str, ends_at: float) -> bool:
+        """Read and log an answer; return whether the connection can be used for another."""
+        try:
+            async with asyncio.timeout(max(ends_at - time.monotonic(), 0.0) + READ_MARGIN):
+                status_line, headers, body = await read_message(self.reader)
+        except TimeoutError:
+            self.log.write("unanswered", call=call)
+            return False
+        except (OSError, asyncio.IncompleteReadError) as error:
+            partial = isinstance(error, asyncio.IncompleteReadError) and bool(error.partial)
+            self.log.write("closed", call=call, partial=partial)
+            return False
+        status = int(status_line.split()[1])
+        is_right = status != 200 or body.startswith(b"served " + call.encode())
+        self.log.write("answer", call=call, status=status, right=is_right)
+        return headers.get("connection") != "close"
+
+    async def leave(self) -> None:
+        """Send a request, and close, reset or half-close some time after it."""
+        call, text, budget, request_class = self.next_request()
+        self.writer.write(text)
+        self.note_sent(call, budget, request_class)
+        await asyncio.sleep(self.chance.choice([0.0, 0.01, 0.05, 0.2]) * self.chance.random())
+        how = self.chance.choice(["close", "reset", "half_close"])
+        if how == "half_close":
+            self.writer.write_eof()
+        else:
+            if how == "reset":
+                sock = self.writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.writer.transport.abort()
+        self.log.write("left", call=call, how=how)
+        if how == "half_close":
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+                async with asyncio.timeout(budget + READ_MARGIN):
+                    await self.reader.read()
+        raise ConnectionResetError
+
+    async def send_bad_request(self) -> None:
+        """Send something that is no request on a new connection, and wait for an error or a close."""
+        await self.disconnect()
+        await self.connect()
+        connected_at = time.monotonic()
+        text = self.chance.choice(BAD_REQUESTS)
+        self.writer.write(text)
+        try:
+            async with asyncio.timeout(BAD_REQUEST_TIME):
+                answer = await self.reader.read(4096)
+        except TimeoutError:
+            self.log.write("bad_request_kept", gateway=self.gateway, seconds=time.monotonic() - connected_at)
+            raise
+        if answer.startswith(b"HTTP/1.1 2"):
+            self.log.write("bad_request_served", gateway=self.gateway)
+        raise ConnectionResetError
+
+
+async def run(arguments: dict[str, Any], log: EventLog) -> None:
+    """Play all clients of this process until the time is over."""
+    clients = [SoakClient(name, arguments, log) for name in arguments["names"]]
+    tasks = [asyncio.ensure_future(client.run()) for client in clients]
+    _, pending = await asyncio.wait(tasks, timeout=arguments["seconds"])
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for task in tasks:
+        if not task.cancelled() and task.exception() is not None:
+            log.write("client_failed", error=repr(task.exception()))
--- /dev/null
+++ b/tests/soak/control.py
@@ -0,0 +1,407 @@
+"""The control of a run: starts all processes, and carries out the planned troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tests.fakes import example_settings
+from tests.soak.backends import Mode
+from tests.soak.event_log import EventLog
+from tests.soak.fault_proxy import ProxyMode
+from tests.soak.gateways import ROOT, Gateway, GatewayChild
+from tests.soak.plan import (
+    CONNECT_ERRORS,
+    FOLDER_ERRORS,
+    HOST,
+    SHORTAGES,
+    STEPS,
+    PlannedTrouble,
+    RunSize,
+    Trouble,
+    plan_troubles,
+)
+from tests.soak.services import Agent, EndpointList, ServiceMode, SoakCounter
+
+HOLD_UPS = (0.05, 0.15, 0.15, 0.3)  # seconds
+FAILURE_RATE = 0.12  # of system calls, at most
+HALF_FILE_TIME = 0.3  # seconds in which a configuration file is half written
+END_TIME = 4.0  # seconds after the clients' end until all answers are in
+BACKEND_MODES = {
+    Trouble.BACKEND_HANGS: Mode.HANGS,
+    Trouble.BACKEND_FAILS: Mode.FAILS,
+    Trouble.BACKEND_REJECTS: Mode.REJECTS,
+    Trouble.BACKEND_RESETS: Mode.RESETS,
+}
+PROXY_MODES = {
+    Trouble.PROXY_DELAYS: ProxyMode.DELAYS,
+    Trouble.PROXY_RESETS: ProxyMode.RESETS,
+    Trouble.PROXY_FREEZES: ProxyMode.FREEZES,
+    Trouble.PROXY_DRIBBLES: ProxyMode.DRIBBLES,
+}
+AGENT_MODES = {
+    Trouble.DISCOVERY_SILENT: ServiceMode.SILENT,
+    Trouble.DISCOVERY_DOWN: ServiceMode.DOWN,
+    Trouble.DISCOVERY_REFUSES: ServiceMode.REFUSES,
+}
+COUNTER_MODES = {
+    Trouble.COUNTER_SILENT: ServiceMode.SILENT,
+    Trouble.COUNTER_BUSY: ServiceMode.REFUSES,
+}
+
+
+def run_settings(size: RunSize, index: int) -> dict[str, Any]:
+    """Return the settings of one gateway: the example's, with short deadlines and more quota."""
+    settings = example_settings()
+    settings.update(balancers=size.gateways, me=index)
+    for service in settings["services"]:
+        service.update(aim=800.0, deadline=2500.0)
+    settings["packages"][0].update(peak_units=40.0, units_per_s=20.0)
+    return settings
+
+
+class Worker:
+    """A process of a run that plays one role, and its standard input."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+
+    async def read_addresses(self) -> list[str]:
+        """Return the addresses that the process listens at."""
+        assert self.process.stdout is not None
+        addresses: list[str] = json.loads(await self.process.stdout.readline())
+        return addresses
+
+    def command(self, **fields: Any) -> None:
+        """Send a command."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(json.dumps(fields).encode() + b"\n")
+
+    async def stop(self) -> None:
+        """End the process."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        await self.process.wait()
+
+
+class Control:
+    """One run."""
+
+    def __init__(self, seed: int, size: RunSize, folder: pathlib.Path) -> None:
+        self.seed = seed
+        self.size = size
+        self.folder = folder
+        self.log = EventLog(folder / "control.jsonl")
+        self.endpoints = EndpointList()
+        self.counter = SoakCounter()
+        self.agents: list[list[Agent]] = []  # two for each gateway, which reloads change between
+        self.gateways: list[Gateway] = []
+        self.workers: list[Worker] = []
+        self.backend_workers: list[Worker] = []
+        self.proxy: Worker
+        self.addresses: list[str] = []  # of the backends, by the proxy
+        self.drained: set[int] = set()
+
+    async def start_worker(self, role: str, name: str, arguments: dict[str, Any]) -> Worker:
+        """Start a process that plays a role."""
+        path = self.folder / f"{name}.arguments"
+        path.write_text(json.dumps({**arguments, "seed": self.seed}))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.soak.worker",
+            role,
+            str(path),
+            str(self.folder / f"{name}.jsonl"),
+            cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        worker = Worker(process)
+        self.workers.append(worker)
+        return worker
+
+    async def run(self) -> None:
+        """Play the run, and stop everything whatever happens."""
+        try:
+            await self.start_backends()
+            await self.start_gateways()
+            await self.play()
+        finally:
+            await self.stop()
+
+    async def start_backends(self) -> None:
+        """Start the backends, the proxy before them, and list them."""
+        targets: list[str] = []
+        for number in range(self.size.backend_processes):
+            first = number * self.size.backends_each
+            names = [f"b{first + offset}" for offset in range(self.size.backends_each)]
+            worker = await self.start_worker("backends", f"backends-{number}", {"names": names})
+            self.backend_workers.append(worker)
+            targets += await worker.read_addresses()
+        self.proxy = await self.start_worker("proxy", "proxy", {"targets": targets})
+        self.addresses = await self.proxy.read_addresses()
+        for number in range(len(targets)):
+            entry = self.entry(number, "SERVING")
+            self.endpoints.entries[entry["instanceId"]] = entry
+            self.endpoints.versions[entry["instanceId"]] = 1
+
+    def entry(self, number: int, lifecycle: str, started_at: float = 0.0) -> dict[str, Any]:
+        """Return a backend as discovery lists it."""
+        return {
+            "instanceId": f"b{number}",
+            "hostPort": self.addresses[number],
+            "zone": "hall-a",
+            "machineType": "kaksi-ydin",
+            "cell": number % 2,
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": 1000.0 * started_at,
+        }
+
+    async def start_gateways(self) -> None:
+        """Start the counter, the agents and the gateways."""
+        await self.counter.start()
+        for index in range(self.size.gateways):
+            agents = [Agent(index, self.endpoints, self.log) for _ in range(2)]
+            for agent in agents:
+                await agent.start()
+            self.agents.append(agents)
+            document = {
+                "name": f"n{index}",
+                "discovery": agents[0].address,
+                "counter": self.counter.address,
+                "seed": f"{self.seed * 1000 + index:x}",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                "known": {"generation": 1, "reset": True, "instances": list(self.endpoints.entries.values())},
+                "settings": run_settings(self.size, index),
+            }
+            self.gateways.append(Gateway(index, self.folder, document, self.log))
+        await asyncio.gather(*(gateway.start() for gateway in self.gateways))
+
+    async def play(self) -> None:
+        """Let the clients play, and carry out the troubles at their times."""
+        gateways = [[HOST, gateway.port] for gateway in self.gateways]
+        for number in range(self.size.client_processes):
+            first = number * self.size.clients_each
+            names = [str(first + offset + 1) for offset in range(self.size.clients_each)]
+            arguments = {"names": names, "gateways": gateways, "seconds": self.size.seconds}
+            await self.start_worker("clients", f"clients-{number}", arguments)
+        began_at = time.monotonic()
+        self.log.write("began")
+        tasks = []
+        for trouble in plan_troubles(self.seed, self.size.seconds):
+            await asyncio.sleep(max(began_at + trouble.at - time.monotonic(), 0.0))
+            tasks.append(asyncio.ensure_future(self.carry_out(trouble)))
+        await asyncio.sleep(max(began_at + self.size.seconds - time.monotonic(), 0.0))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(END_TIME)
+
+    async def stop(self) -> None:
+        """End all gateways as on a planned restart, and kill the rest."""
+        for gateway in self.gateways:
+            await asyncio.gather(*(child.end() for child in gateway.running))
+        self.log.write("over")
+        for worker in self.workers:
+            await worker.stop()
+        for server in [self.counter, *(agent for agents in self.agents for agent in agents)]:
+            await server.stop()
+
+    async def carry_out(self, trouble: PlannedTrouble) -> None:
+        """Begin a trouble, and end it after its time."""
+        self.log.write("trouble", kind=trouble.kind, seconds=trouble.seconds, target=trouble.target)
+        kind = trouble.kind
+        if kind in BACKEND_MODES:
+            await self.change_backend(trouble, BACKEND_MODES[kind])
+        elif kind in PROXY_MODES:
+            await self.change_proxy(trouble, PROXY_MODES[kind])
+        elif kind in AGENT_MODES:
+            await self.change_agents(trouble, AGENT_MODES[kind])
+        elif kind in COUNTER_MODES:
+            self.counter.mode = COUNTER_MODES[kind]
+            await asyncio.sleep(trouble.seconds)
+            self.counter.mode = ServiceMode.SERVES
+        else:
+            await self.handlers()[kind](trouble, self.gateways[trouble.target % len(self.gateways)])
+
+    def handlers(self) -> dict[Trouble, Callable[[PlannedTrouble, Gateway], Awaitable[None]]]:
+        """Return what carries out each of the other kinds."""
+        return {
+            Trouble.HOLD_UP: self.hold_up,
+            Trouble.KILL: lambda trouble, gateway: self.restart(gateway, gateway.kill),
+            Trouble.RESTART: lambda trouble, gateway: self.restart(gateway, gateway.restart),
+            Trouble.HOT_RESTART: lambda trouble, gateway: self.restart(gateway, gateway.hot_restart),
+            Trouble.NEWER_DIES: lambda trouble, gateway: self.restart(
+                gateway, lambda: gateway.lose_newer(trouble.choice)
+            ),
+            Trouble.RELOAD: self.reload,
+            Trouble.BROKEN_RELOAD: self.reload_broken,
+            Trouble.MAINTENANCE: self.maintain,
+            Trouble.BACKEND_STOPS: self.stop_backends,
+            Trouble.BACKEND_DRAINS: self.drain_backend,
+            Trouble.BACKEND_RESTARTS: self.restart_backend,
+            Trouble.CALLS_FAIL: self.fail_calls,
+            Trouble.SHORT_CALLS: self.shorten_calls,
+            Trouble.CLOCK_STEP: self.step_clock,
+            Trouble.FOLDER_FAILS: self.fail_folder,
+        }
+
+    async def restart(self, gateway: Gateway, action: Callable[[], Awaitable[None]]) -> None:
+        """Do something with the processes of a gateway, one thing at a time."""
+        async with gateway.lifecycle:
+            await action()
+
+    async def hold_up(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Stop the newest process for a moment."""
+        child = gateway.newest
+        if child is None:
+            return
+        seconds = HOLD_UPS[int(trouble.choice * len(HOLD_UPS))]
+        child.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        child.signal(signal.SIGCONT)
+
+    async def reload(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Move discovery to the gateway's other agent."""
+        self.move_agent(gateway)
+        gateway.write_config()
+        self.signal_reload(gateway)
+
+    def move_agent(self, gateway: Gateway) -> None:
+        addresses = [agent.address for agent in self.agents[gateway.index]]
+        gateway.document["discovery"] = addresses[gateway.document["discovery"] == addresses[0]]
+
+    def signal_reload(self, gateway: Gateway) -> None:
+        """Send SIGHUP to the processes that are ready."""
+        for child in gateway.running:
+            if child in gateway.children and not gateway.lifecycle.locked():
+                child.signal(signal.SIGHUP)
+
+    async def reload_broken(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Move discovery with a file that can't be read, or is half written, at first."""
+        async with gateway.lifecycle:
+            self.move_agent(gateway)
+            if trouble.choice < 0.5:
+                gateway.config_path.write_text('{"name":')
+            else:
+                gateway.faults.fail_configuration_file(FOLDER_ERRORS[0])
+            for child in gateway.running:
+                child.signal(signal.SIGHUP)
+            await asyncio.sleep(HALF_FILE_TIME)
+            gateway.faults.fail_configuration_file(0)
+            gateway.write_config()
+
+    async def maintain(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Take a backend out of service for some time."""
+        backend = f"b{trouble.target % self.size.backends}"
+        async with gateway.lifecycle:
+            child = gateway.newest
+            if child is None or await child.call("POST", f"/backends/{backend}/maint") != 200:
+                return
+            gateway.maintenance.add(backend)
+            self.log.write("maintenance", gateway=gateway.index, backend=backend)
+        await asyncio.sleep(2 * trouble.seconds)
+        async with gateway.lifecycle:
+            if backend not in gateway.maintenance:
+                return
+            gateway.maintenance.discard(backend)
+            self.log.write("maintenance_ended", gateway=gateway.index, backend=backend)
+            await self.end_maintenance(gateway.newest, backend)
+
+    async def end_maintenance(self, child: GatewayChild | None, backend: str) -> None:
+        if child is not None:
+            await child.call("POST", f"/backends/{backend}/ready")
+
+    async def change_backend(self, trouble: PlannedTrouble, mode: Mode) -> None:
+        """Have a backend behave differently for some time."""
+        number = trouble.target % self.size.backends
+        worker = self.backend_workers[number // self.size.backends_each]
+        index = number % self.size.backends_each
+        worker.command(backend=index, mode=mode)
+        await asyncio.sleep(trouble.seconds)
+        worker.command(backend=index, mode=Mode.SERVES)
+
+    async def change_proxy(self, trouble: PlannedTrouble, mode: ProxyMode) -> None:
+        """Have the connections to a backend fare differently for some time."""
+        number = trouble.target % self.size.backends
+        self.proxy.command(route=number, mode=mode)
+        await asyncio.sleep(trouble.seconds)
+        self.proxy.command(route=number, mode=ProxyMode.PASSES)
+
+    async def change_agents(self, trouble: PlannedTrouble, mode: ServiceMode) -> None:
+        """Have the agents of one gateway behave differently for some time."""
+        agents = self.agents[trouble.target % self.size.gateways]
+        for agent in agents:
+            agent.set_mode(mode)
+        await asyncio.sleep(trouble.seconds)
+        for agent in agents:
+            agent.set_mode(ServiceMode.SERVES)
+
+    async def stop_backends(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Stop a process with some backends for a while."""
+        process = self.backend_workers[trouble.target % len(self.backend_workers)].process
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(min(trouble.seconds, 1.0))
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def drain_backend(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Drain a backend, and start it anew some time later."""
+        number = trouble.target % self.size.backends
+        if number in self.drained or len(self.drained) >= self.size.backends // 3:
+            return
+        self.drained.add(number)
+        self.log.write("drained", backend=f"b{number}")
+        await self.endpoints.publish(self.entry(number, "DRAINING"))
+        await asyncio.sleep(3.0 + trouble.seconds)
+        self.log.write("back", backend=f"b{number}")
+        await self.endpoints.publish(self.entry(number, "SERVING", time.time()))
+        self.drained.discard(number)
+
+    async def restart_backend(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Reset all connections of a backend, which comes back cold."""
+        number = trouble.target % self.size.backends
+        if number in self.drained:
+            return
+        worker = self.backend_workers[number // self.size.backends_each]
+        worker.command(backend=number % self.size.backends_each, restart=True)
+        await self.endpoints.publish(self.entry(number, "SERVING", time.time()))
+
+    async def fail_calls(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Have system calls of a gateway fail for a moment each."""
+        error = SHORTAGES[int(trouble.choice * len(SHORTAGES))]
+        rate = FAILURE_RATE * trouble.choice
+        gateway.faults.fail_accepts(rate, error)
+        gateway.faults.fail_sockets(rate, SHORTAGES[0])
+        gateway.faults.fail_connects(rate, CONNECT_ERRORS[trouble.target % len(CONNECT_ERRORS)])
+        await asyncio.sleep(trouble.seconds)
+        gateway.faults.fail_accepts(0.0, 0)
+        gateway.faults.fail_sockets(0.0, 0)
+        gateway.faults.fail_connects(0.0, 0)
+
+    async def shorten_calls(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Have reads and writes of a gateway be short, and its waits interrupted."""
+        gateway.faults.page.short_io_rate = 0.2
+        gateway.faults.page.interrupt_rate = 0.05
+        await asyncio.sleep(trouble.seconds)
+        gateway.faults.page.short_io_rate = 0.0
+        gateway.faults.page.interrupt_rate = 0.0
+
+    async def step_clock(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Step the wall clock of a gateway, and step it back."""
+        gateway.faults.step_wall_clock(STEPS[int(trouble.choice * len(STEPS))])
+        await asyncio.sleep(2 * trouble.seconds)
+        gateway.faults.step_wall_clock(0.0)
+
+    async def fail_folder(self, trouble: PlannedTrouble, gateway: Gateway) -> None:
+        """Have the shared folder of a gateway fail for a while."""
+        gateway.faults.fail_folder(FOLDER_ERRORS[trouble.target % len(FOLDER_ERRORS)])
+        await asyncio.sleep(trouble.seconds)
+        gateway.faults.fail_folder(0)
--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,100 @@
+"""A TCP proxy in front of the backends that delays, resets, freezes and dribbles connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from enum import StrEnum
+from typing import Any
+
+from tests.soak.backends import control_lines
+from tests.soak.event_log import EventLog
+from tests.soak.plan import HOST
+
+READ_SIZE = 65536
+MAX_CONNECT_DELAY = 0.6  # seconds
+
+
+class ProxyMode(StrEnum):
+    """What happens to connections to one backend."""
+
+    PASSES = "passes"
+    DELAYS = "delays"  # connections come up late
+    RESETS = "resets"  # some are reset, before or in the middle of a message
+    FREEZES = "freezes"  # nothing is passed on
+    DRIBBLES = "dribbles"  # messages are passed on in pieces
+
+
+class Route:
+    """The proxy of one backend."""
+
+    def __init__(self, target: str, chance: random.Random) -> None:
+        self.host, _, port = target.rpartition(":")
+        self.port = int(port)
+        self.chance = chance
+        self.mode = ProxyMode.PASSES
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    def set_mode(self, mode: ProxyMode) -> None:
+        """Treat connections, also those that are open, differently from now on."""
+        self.mode = mode
+        if mode is ProxyMode.FREEZES:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Connect to the backend and pass bytes on in both directions."""
+        if self.mode is ProxyMode.DELAYS:
+            await asyncio.sleep(self.chance.random() * MAX_CONNECT_DELAY)
+        try:
+            target_reader, target_writer = await asyncio.open_connection(self.host, self.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        directions = (self.pass_on(reader, target_writer), self.pass_on(target_reader, writer))
+        tasks = [asyncio.ensure_future(direction) for direction in directions]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+        for end in (writer, target_writer):
+            end.close()
+
+    async def pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass bytes on in one direction, until either end closes or the mode ends the connection."""
+        try:
+            while data := await reader.read(READ_SIZE):
+                await self.thawed.wait()
+                if self.mode is ProxyMode.RESETS and self.chance.random() < 0.3:
+                    writer.write(data[: self.chance.randrange(len(data))])
+                    writer.transport.abort()
+                    return
+                await self.write(writer, data)
+        except OSError:
+            return
+
+    async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write bytes, some of them in pieces."""
+        if self.mode is ProxyMode.DRIBBLES and len(data) > 1:
+            cut = self.chance.randrange(1, len(data))
+            writer.write(data[:cut])
+            await asyncio.sleep(0.01 * self.chance.random())
+            data = data[cut:]
+        writer.write(data)
+        await writer.drain()
+
+
+async def run(arguments: dict[str, Any], log: EventLog) -> None:
+    """Proxy until standard input ends."""
+    routes = [
+        Route(target, random.Random(f"{arguments['seed']} {target}")) for target in arguments["targets"]
+    ]
+    servers = [await asyncio.start_server(route.handle, HOST, 0) for route in routes]
+    addresses = ["{}:{}".format(*server.sockets[0].getsockname()) for server in servers]
+    print(json.dumps(addresses), flush=True)
+    commands = await control_lines()
+    while line := await commands.readline():
+        command = json.loads(line)
+        routes[command["route"]].set_mode(ProxyMode(command["mode"]))
--- /dev/null
+++ b/tests/soak/gateways.py
@@ -0,0 +1,202 @@
+"""One gateway of a run: its processes, their signals and the faults of their system calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import shlex
+import signal
+import socket
+import sys
+from typing import Any
+
+from tests.fakes import read_message
+from tests.fault_injection.injector import FaultInjector
+from tests.soak.event_log import EventLog
+from tests.soak.plan import HOST
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+RUN = os.environ.get("GATEWAY_RUN") or f"exec {shlex.quote(sys.executable)} -m quota_gateway"
+READY_TIMEOUT = 10.0  # seconds from a start until the gateway should be ready
+SHUTDOWN_TIME = 3.2  # seconds from SIGTERM to SIGKILL: the longest deadline, 2.5 s, and 0.7
+POLL_INTERVAL = 0.02  # seconds
+
+
+class GatewayChild:
+    """One process of a gateway."""
+
+    def __init__(self, name: str, child: asyncio.subprocess.Process, admin_port: int, log: EventLog) -> None:
+        self.name = name
+        self.child = child
+        self.admin_port = admin_port
+        self.log = log
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.child.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self.is_running:
+            self.log.write("signal", process=self.name, number=number.name)
+            self.child.send_signal(number)
+
+    async def end(self) -> None:
+        """Send SIGTERM, wait as long as the platform does, and kill what is left."""
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(SHUTDOWN_TIME):
+                code = await self.child.wait()
+        except TimeoutError:
+            self.log.write("shutdown_too_long", process=self.name)
+            await self.kill()
+            return
+        self.log.write("ended", process=self.name, code=code)
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        self.signal(signal.SIGKILL)
+        await self.child.wait()
+
+    async def call(self, method: str, path: str) -> int:
+        """Call the admin API; 0 if it does not answer."""
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(HOST, self.admin_port)
+                writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                message = await read_message(reader)
+                writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return 0
+        return int(message.start_line.split()[1])
+
+
+class Gateway:
+    """The processes of one gateway, of which the last one is the newest.
+
+    Every other gateway has an inherited listening socket and can be restarted hot; the others bind their own.
+    """
+
+    def __init__(self, index: int, folder: pathlib.Path, document: dict[str, Any], log: EventLog) -> None:
+        self.index = index
+        self.folder = folder
+        self.document = document
+        self.log = log
+        self.shared = folder / f"shared-{index}"
+        self.shared.mkdir()
+        self.config_path = folder / f"config-{index}.json"
+        self.faults = FaultInjector(folder / f"faults-{index}", seed=index)
+        self.is_hot = index % 2 == 0
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((HOST, 0))
+        self.port: int = self.listener.getsockname()[1]
+        if self.is_hot:
+            self.listener.listen(256)
+        else:
+            self.listener.close()
+        self.children: list[GatewayChild] = []
+        self.started_count = 0
+        self.lifecycle = asyncio.Lock()
+        self.maintenance: set[str] = set()
+        self.write_config()
+
+    def write_config(self) -> None:
+        """Write the configuration file in one step."""
+        text = json.dumps({**self.document, "listen": f"{HOST}:{self.port}"})
+        temporary = self.config_path.with_suffix(".new")
+        temporary.write_text(text)
+        temporary.replace(self.config_path)
+
+    @property
+    def running(self) -> list[GatewayChild]:
+        """The processes that have not ended."""
+        return [child for child in self.children if child.is_running]
+
+    @property
+    def newest(self) -> GatewayChild | None:
+        """The process started last, if it runs."""
+        return self.running[-1] if self.running else None
+
+    async def start(self) -> GatewayChild:
+        """Start a process and wait until it serves."""
+        self.started_count += 1
+        name = f"gateway-{self.index}-{self.started_count}"
+        with socket.socket() as unused:
+            unused.bind((HOST, 0))
+            admin_port = unused.getsockname()[1]
+        variables = {
+            **os.environ,
+            **self.faults.environment,
+            "RELAY_CONFIG": str(self.config_path),
+            "RELAY_CONSOLE": f"{HOST}:{admin_port}",
+            "RELAY_LOG_LEVEL": "debug",
+            "TMPDIR": str(self.shared),
+        }
+        descriptors: tuple[int, ...] = ()
+        if self.is_hot:
+            descriptors = (self.listener.fileno(),)
+            variables["RELAY_SOCKET_FD"] = str(descriptors[0])
+        with (self.folder / f"{name}.err").open("wb") as errors:
+            process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", RUN, cwd=ROOT, env=variables, pass_fds=descriptors, stderr=errors
+            )
+        child = GatewayChild(name, process, admin_port, self.log)
+        self.children.append(child)
+        self.log.write("started", process=name, gateway=self.index)
+        await self.wait_until_ready(child)
+        return child
+
+    async def wait_until_ready(self, child: GatewayChild) -> None:
+        """Wait until a process serves; one that does not in time is logged."""
+        try:
+            async with asyncio.timeout(READY_TIMEOUT):
+                while await child.call("GET", "/healthcheck") != 200:
+                    if not child.is_running:
+                        self.log.write("failed_start", process=child.name, code=child.child.returncode)
+                        return
+                    await asyncio.sleep(POLL_INTERVAL)
+        except TimeoutError:
+            self.log.write("not_ready", process=child.name)
+
+    def forget_maintenance(self) -> None:
+        """Note that a cold start knows of no maintenance."""
+        for backend in self.maintenance:
+            self.log.write("maintenance_ended", gateway=self.index, backend=backend)
+        self.maintenance.clear()
+
+    async def kill(self) -> None:
+        """Kill all processes and start anew."""
+        for child in self.running:
+            await child.kill()
+        self.forget_maintenance()
+        await self.start()
+
+    async def restart(self) -> None:
+        """End all processes with SIGTERM and start anew; with an inherited socket, without a gap."""
+        if self.is_hot and self.running:
+            await self.hot_restart()
+            return
+        await asyncio.gather(*(child.end() for child in self.running))
+        self.forget_maintenance()
+        await self.start()
+
+    async def hot_restart(self) -> None:
+        """Start a newer process, and end the older one once the newer one serves."""
+        if not self.is_hot or not self.running:
+            await self.restart()
+            return
+        older = self.running
+        await self.start()
+        await asyncio.gather(*(child.end() for child in older))
+
+    async def lose_newer(self, delay: float) -> None:
+        """Start a newer process and kill it some time after it serves."""
+        if not self.is_hot or not self.running:
+            return
+        newer = await self.start()
+        await asyncio.sleep(delay)
+        await newer.kill()
--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,256 @@
+"""The oracle of a run: reads the events of all processes and finds broken invariants."""
+
+from __future__ import annotations
+
+import pathlib
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from tests.soak.event_log import LoggedEvent, read_events, read_gateway_log
+from tests.soak.plan import RunSize
+
+ANSWER_SLACK = 0.5  # seconds after a client's time until which an answer is not lost
+START_SLACK = 0.1  # seconds after its client left in which an attempt may begin
+DEADLINE_SLACK = 0.15  # seconds by which an attempt may have more time than its client
+DRAIN_TIME = 2.0  # seconds from the notice that a backend drains to the last attempt
+NOTICE_TIME = 6.0  # seconds from a change until it counts as told, whatever fails
+MEASURING_SLACK = 0.15  # seconds that a busy machine adds: a process that reads its clock and goes on later
+MAINTENANCE_SLACK = 0.3  # seconds from an operator's command to the last attempt
+START_TIME = 1.5  # seconds after a kill until clients of an inherited socket are accepted again
+ONCE = "extract"  # the class whose requests may run once only
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken invariant, and the story of what it struck."""
+
+    invariant: str
+    subject: str
+    detail: str
+    story: list[LoggedEvent]
+
+
+@dataclass
+class History:
+    """The events of a run in their order."""
+
+    events: list[LoggedEvent]
+    by_call: dict[str, list[LoggedEvent]] = field(default_factory=lambda: defaultdict(list))
+    errors: dict[str, str] = field(default_factory=dict)  # what gateways wrote besides, by process
+
+    def named(self, name: str) -> list[LoggedEvent]:
+        """Return the events with a name."""
+        return [event for event in self.events if event.name == name]
+
+
+def read_history(folder: pathlib.Path) -> History:
+    """Read the events of all processes."""
+    events: list[LoggedEvent] = []
+    errors: dict[str, str] = {}
+    for path in folder.glob("*.jsonl"):
+        events += read_events(path)
+    for path in folder.glob("gateway-*.err"):
+        events += read_gateway_log(path)
+        lines = path.read_text(errors="replace").splitlines()
+        errors[path.stem] = "\n".join(
+            line for line in lines if not line.startswith("quota_gateway.requests:")
+        )
+    events.sort(key=lambda event: event.at)
+    history = History(events, errors=errors)
+    for event in events:
+        if "call" in event.fields:
+            history.by_call[event.fields["call"]].append(event)
+    return history
+
+
+class Oracle:
+    """Checks the history of one run."""
+
+    def __init__(self, history: History, size: RunSize) -> None:
+        self.history = history
+        self.size = size
+        self.violations: list[Violation] = []
+
+    def report(self, invariant: str, subject: str, detail: str, story: list[LoggedEvent]) -> None:
+        """Add a violation."""
+        self.violations.append(Violation(invariant, subject, detail, story))
+
+    def check(self) -> list[Violation]:
+        """Return all violations."""
+        for call, story in self.history.by_call.items():
+            sent = next((event for event in story if event.name == "sent"), None)
+            if sent is None:
+                self.report("no request that no client sent", call, "no client sent it", story)
+                continue
+            self.check_answer(call, sent, story)
+            self.check_attempts(call, sent, story)
+            self.check_runs(call, sent, story)
+        self.check_drains()
+        self.check_maintenance()
+        self.check_processes()
+        return self.violations
+
+    def check_answer(self, call: str, sent: LoggedEvent, story: list[LoggedEvent]) -> None:
+        """Check that a request is answered in time, unless its client leaves or its process is killed."""
+        names = {event.name: event for event in story}
+        answer = names.get("answer")
+        ends_at = sent.at + sent.fields["budget"] + ANSWER_SLACK + MEASURING_SLACK
+        if answer is not None:
+            if not answer.fields["right"]:
+                self.report("answers belong to their requests", call, "another body", story)
+            if answer.at > ends_at and not self.was_killed(sent, ends_at):
+                self.report("answers come in time", call, f"{answer.at - ends_at:.3f} s late", story)
+            return
+        if "left" in names or self.was_killed(sent, ends_at):
+            return
+        closed = names.get("closed")
+        if closed is None:
+            if "unanswered" in names:
+                self.report("every request is answered", call, "no answer", story)
+            return
+        was_read = any(event.name == "received" for event in story)
+        was_cut_off = closed.fields.get("partial", False)
+        if was_cut_off:
+            return  # an answer that could not be finished, as the client can tell
+        if was_read or (sent.fields["first"] and not self.was_stopping(sent)):
+            self.report("every request is answered", call, "closed without an answer", story)
+
+    def was_killed(self, sent: LoggedEvent, until: float) -> bool:
+        """Return whether a process of the request's gateway was killed meanwhile."""
+        prefix = f"gateway-{sent.fields['gateway']}-"
+        return any(
+            event.fields["process"].startswith(prefix) and sent.at - START_TIME <= event.at <= until
+            for event in self.history.named("signal")
+            if event.fields["number"] == "SIGKILL"
+        )
+
+    def was_stopping(self, sent: LoggedEvent) -> bool:
+        """Return whether the gateway binds its own socket and was ending, so that its queue is closed."""
+        gateway = sent.fields["gateway"]
+        if gateway % 2 == 0:
+            return False
+        prefix = f"gateway-{gateway}-"
+        return any(
+            event.fields["process"].startswith(prefix) and event.at <= sent.at <= event.at + 4.0
+            for event in self.history.named("signal")
+            if event.fields["number"] == "SIGTERM"
+        )
+
+    def check_attempts(self, call: str, sent: LoggedEvent, story: list[LoggedEvent]) -> None:
+        """Check that no attempt begins after its client left, or has more time than its client."""
+        left = next((event for event in story if event.name == "left"), None)
+        client_ends_at = sent.at + sent.fields["budget"]
+        for event in story:
+            if event.name != "started":
+                continue
+            if left is not None and event.at > left.at + START_SLACK + 0.02:
+                late = event.at - left.at
+                self.report("no attempt begins after its client left", call, f"{late:.3f} s", story)
+            excess = event.at + float(event.fields["left"]) - client_ends_at
+            if excess > DEADLINE_SLACK:
+                self.report("endpoints are told no more than is left", call, f"{excess:.3f} s more", story)
+
+    def check_runs(self, call: str, sent: LoggedEvent, story: list[LoggedEvent]) -> None:
+        """Check that a request runs once if it may not run again."""
+        runs = [event for event in story if event.name == "ran"]
+        if sent.fields["request_class"] == ONCE and len(runs) > 1:
+            self.report("a request runs once", call, f"{len(runs)} times", story)
+
+    def check_drains(self) -> None:
+        """Check that nothing is sent to a backend that drains, from some time after it was told."""
+        agent_troubles = self.history.named("agent_mode")
+        for drained in self.history.named("drained"):
+            backend = drained.fields["backend"]
+            back_at = min(
+                (
+                    e.at
+                    for e in self.history.named("back")
+                    if e.fields["backend"] == backend and e.at > drained.at
+                ),
+                default=float("inf"),
+            )
+            for gateway in range(self.size.gateways):
+                limit = self.drain_limit(drained, backend, gateway, agent_troubles)
+                self.check_no_attempts(
+                    "nothing is sent to a backend that drains", gateway, backend, limit, back_at
+                )
+
+    def drain_limit(
+        self, drained: LoggedEvent, backend: str, gateway: int, agent_troubles: list[LoggedEvent]
+    ) -> float:
+        """Return from when a gateway may send no attempt to a backend that drains."""
+        latest = drained.at + NOTICE_TIME + DRAIN_TIME + MEASURING_SLACK
+        told = next(
+            (
+                event
+                for event in self.history.named("told")
+                if event.fields["gateway"] == gateway
+                and event.fields["backend"] == backend
+                and event.at >= drained.at
+            ),
+            None,
+        )
+        if told is None:
+            return latest
+        limit = told.at + DRAIN_TIME + MEASURING_SLACK
+        had_trouble = any(
+            event.fields["gateway"] == gateway and drained.at - 3.0 <= event.at <= limit
+            for event in agent_troubles
+        )
+        return latest if had_trouble else min(limit, latest)
+
+    def check_no_attempts(self, invariant: str, gateway: int, backend: str, start: float, end: float) -> None:
+        """Report the attempts of a gateway to a backend within a time."""
+        prefix = f"gateway-{gateway}-"
+        for event in self.history.named("started"):
+            is_attempt = event.source.startswith(prefix) and event.fields.get("endpoint") == backend
+            if is_attempt and start < event.at < end:
+                call = event.fields["call"]
+                detail = f"{event.source} to {backend}, {event.at - start:.3f} s late"
+                self.report(invariant, call, detail, self.history.by_call[call])
+
+    def check_maintenance(self) -> None:
+        """Check that a gateway sends nothing to a backend that an operator took out of service there."""
+        ended = self.history.named("maintenance_ended")
+        for began in self.history.named("maintenance"):
+            gateway, backend = began.fields["gateway"], began.fields["backend"]
+            ends_at = min(
+                (e.at for e in ended if e.fields == began.fields and e.at > began.at), default=float("inf")
+            )
+            self.check_no_attempts(
+                "nothing is sent to a backend in maintenance",
+                gateway,
+                backend,
+                began.at + MAINTENANCE_SLACK,
+                ends_at,
+            )
+
+    def check_processes(self) -> None:
+        """Check that gateways start and end as they are told, and violate no invariant of their own."""
+        for event in self.history.events:
+            if event.name in ("failed_start", "not_ready", "shutdown_too_long", "client_failed"):
+                self.report("processes start and end in time", str(event.fields), event.name, [event])
+            if event.name == "ended" and event.fields.get("process") and event.fields["code"] != 0:
+                self.report("processes end well", event.fields["process"], str(event.fields), [event])
+            if event.name == "bad_request_kept" and not self.was_held_up(event):
+                self.report("bad requests end in 3 s", str(event.fields), event.name, [event])
+            if event.name == "bad_request_served":
+                self.report("bad requests are not served", str(event.fields), event.name, [event])
+        for process, text in self.history.errors.items():
+            for line in text.splitlines():
+                if (
+                    "Traceback" in line
+                    or "invariant" in line
+                    or "Error" in line
+                    or "failed to handle" in line
+                ):
+                    self.report("no error is logged", process, text[-3000:], [])
+                    break
+
+    def was_held_up(self, event: LoggedEvent) -> bool:
+        """Return whether the gateway was stopped, or not there, in the seconds before."""
+        prefix = f"gateway-{event.fields['gateway']}-"
+        return any(
+            other.fields["process"].startswith(prefix) and event.at - 5.0 <= other.at <= event.at
+            for other in self.history.named("signal")
+        )
--- /dev/null
+++ b/tests/soak/services.py
@@ -0,0 +1,124 @@
+"""Discovery and the counter of a run: one agent a gateway, over one list, and faults of each."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from tests.fakes import FakeCounter, FakeServer, http_response, read_message
+from tests.soak.event_log import EventLog
+
+
+class ServiceMode(StrEnum):
+    """How a service behaves."""
+
+    SERVES = "serves"
+    SILENT = "silent"  # it takes calls and answers none
+    REFUSES = "refuses"  # it has no capacity
+    DOWN = "down"  # it refuses connections and resets those that are open
+
+
+@dataclass
+class EndpointList:
+    """The list of backends, with the version at which each entry changed last."""
+
+    entries: dict[str, dict[str, Any]] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+    generation: int = 1
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def publish(self, entry: dict[str, Any]) -> None:
+        """Replace one entry."""
+        async with self.changed:
+            self.generation += 1
+            self.entries[entry["instanceId"]] = entry
+            self.versions[entry["instanceId"]] = self.generation
+            self.changed.notify_all()
+
+    def since(self, generation: int) -> list[dict[str, Any]]:
+        """Return the entries that changed after a version."""
+        return [self.entries[name] for name, version in self.versions.items() if version > generation]
+
+
+class Agent(FakeServer):
+    """The discovery agent of one gateway."""
+
+    def __init__(self, gateway: int, endpoints: EndpointList, log: EventLog) -> None:
+        super().__init__()
+        self.gateway = gateway
+        self.endpoints = endpoints
+        self.log = log
+        self.mode = ServiceMode.SERVES
+
+    def set_mode(self, mode: ServiceMode) -> None:
+        """Behave differently from now on; calls that wait are answered by the new mode."""
+        self.mode = mode
+        self.log.write("agent_mode", gateway=self.gateway, mode=mode)
+        if mode is ServiceMode.DOWN:
+            for writer in list(self.open_writers):
+                writer.transport.abort()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer polls and watches."""
+        if self.mode is ServiceMode.DOWN:
+            writer.transport.abort()
+            return
+        while True:
+            request = await read_message(reader)
+            since = re.search(r"since=(\d+)", request.start_line)
+            timeout = re.search(r"timeout_ms=(\d+)", request.start_line)
+            known = int(since[1]) if since is not None else 0
+            if since is not None and timeout is not None:
+                await self.wait_for_change(known, int(timeout[1]) / 1000)
+            if self.mode is ServiceMode.SILENT:
+                await asyncio.sleep(30.0)
+                return
+            if self.mode is ServiceMode.REFUSES:
+                writer.write(http_response(503, b"", "Retry-After: 1"))
+                continue
+            writer.write(http_response(200, self.answer(known)))
+
+    async def wait_for_change(self, known: int, seconds: float) -> None:
+        """Wait until there is something newer than a version, for some time."""
+        endpoints = self.endpoints
+        try:
+            async with asyncio.timeout(seconds), endpoints.changed:
+                await endpoints.changed.wait_for(lambda: endpoints.generation > known)
+        except TimeoutError:
+            pass
+
+    def answer(self, known: int) -> bytes:
+        """Return the changes since a version, or with 0 the whole list, and log that they are told."""
+        endpoints = self.endpoints
+        entries = endpoints.since(known) if known else list(endpoints.entries.values())
+        for entry in entries:
+            self.log.write(
+                "told", gateway=self.gateway, backend=entry["instanceId"], lifecycle=entry["lifecycle"]
+            )
+        document = {"generation": endpoints.generation, "reset": not known, "instances": entries}
+        return json.dumps(document).encode()
+
+
+class SoakCounter(FakeCounter):
+    """A counter that may be silent or busy."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.mode = ServiceMode.SERVES
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the calls of one connection."""
+        while True:
+            increment = await self.read_increment(reader)
+            if self.mode is ServiceMode.SILENT:
+                continue
+            if self.mode is ServiceMode.REFUSES:
+                writer.write(b"-BUSY\r\n")
+                continue
+            total = self.totals.get(increment.key, 0.0) + increment.amount
+            self.totals[increment.key] = total
+            writer.write(self.bulk_string(f"{total:.7g}"))
--- /dev/null
+++ b/tests/soak/worker.py
@@ -0,0 +1,24 @@
+"""A process of a run that plays one role: `python -m tests.soak.worker ROLE ARGUMENTS.json LOG`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import sys
+
+from tests.soak import backends, clients, fault_proxy
+from tests.soak.event_log import EventLog
+
+ROLES = {"backends": backends.run, "clients": clients.run, "proxy": fault_proxy.run}
+
+
+def main() -> None:
+    """Play the role that the command line names."""
+    role, arguments, log = sys.argv[1:]
+    parsed = json.loads(pathlib.Path(arguments).read_text())
+    asyncio.run(ROLES[role](parsed, EventLog(pathlib.Path(log))))
+
+
+if __name__ == "__main__":
+    main()
