--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -5,11 +5,6 @@
 import asyncio
 from typing import Protocol
 
-from quota_gateway.downstream.connection_limits import (
-    READ_TIMEOUT,
-    is_request_overdue,
-    linger_timeout,
-)
 from quota_gateway.downstream.flow_control import FlowControlledConnection, Listener
 from quota_gateway.downstream.half_close import DispatchingListener, HalfClose
 from quota_gateway.downstream.request_handler import RequestHandler
@@ -18,7 +13,6 @@
 from quota_gateway.downstream.response_writer import ResponseWriter
 from quota_gateway.errors import InvalidRequestError
 from quota_gateway.invariants import Invariant
-from quota_gateway.policy.permissions import may_close_client
 from quota_gateway.sockets.kernel_state import has_peer_closed
 
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on one connection; further ones stay unread
@@ -182,27 +176,6 @@
         for request_id in self.responses.take_incomplete():
             self.listener.dispatcher.client_disconnected(request_id)
 
-    def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
-        """Enforce the timeouts; a connection closes soon, or gets an error, whatever its client sent."""
-        requests = self.requests
-        unsent_bytes = self.unsent_bytes()
-        if not unsent_bytes:
-            self.unread_response_timer.stop()
-        if unsent_bytes and (self.closing or self.write_paused):
-            self.closing_since = now  # of a closing connection: its client has yet to read the last response
-            if self.unread_response_timer.has_expired(now, unsent_bytes):
-                self.drop()
-        elif self.closing:
-            if now - self.closing_since > linger_timeout(requests):
-                self.drop()
-        elif self.is_reading_request():
-            if is_request_overdue(requests, self.last_read_at, now):
-                requests.abort_request(InvalidRequestError(408, "the request did not come whole in time"))
-        elif self.is_idle():
-            timeout = idle_timeout if requests.any_request_started else READ_TIMEOUT
-            if may_close_client(self, timeout, now):
-                self.drop()
-
     def is_reading_request(self) -> bool:
         """Return True if a request is incomplete for no other reason than that its client is slow."""
         if not self.in_request or self.unread or self.read_paused:
--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -13,6 +13,7 @@
 from quota_gateway.downstream.client_connection import ClientConnection
 from quota_gateway.downstream.connection_eviction import MAX_EVICTIONS, end_if_unused, evict_unused
 from quota_gateway.downstream.connection_limits import CROWDED_FRACTION, CROWDED_IDLE_TIMEOUT, IDLE_TIMEOUT
+from quota_gateway.downstream.connection_timeouts import enforce_timeouts
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
 from quota_gateway.downstream.request_router import RequestRouter
 from quota_gateway.model.settings import Settings
@@ -168,7 +169,7 @@
         idle_timeout = CROWDED_IDLE_TIMEOUT if is_crowded else IDLE_TIMEOUT
         ends_unused = self.draining and now - self.drained_since >= DRAIN_DELAY
         for connection in list(self.connections):
-            connection.enforce_timeouts(now, idle_timeout)
+            enforce_timeouts(connection, now, idle_timeout)
             if ends_unused:
                 end_if_unused(connection, now)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL, self.sweep)
--- /dev/null
+++ b/quota_gateway/downstream/connection_timeouts.py
@@ -0,0 +1,30 @@
+"""Timeouts of a client connection: each closes soon, or gets an error, whatever its client sent."""
+
+from __future__ import annotations
+
+from quota_gateway.downstream.client_connection import ClientConnection
+from quota_gateway.downstream.connection_limits import READ_TIMEOUT, is_request_overdue, linger_timeout
+from quota_gateway.errors import InvalidRequestError
+from quota_gateway.policy.permissions import may_close_client
+
+
+def enforce_timeouts(connection: ClientConnection, now: float, idle_timeout: float) -> None:
+    """Close the connection, or answer the request that is partly read, where a timeout is over."""
+    requests = connection.requests
+    unsent_bytes = connection.unsent_bytes()
+    if not unsent_bytes:
+        connection.unread_response_timer.stop()
+    if unsent_bytes and (connection.closing or connection.write_paused):
+        connection.closing_since = now  # of a closing one: its client has yet to read the last response
+        if connection.unread_response_timer.has_expired(now, unsent_bytes):
+            connection.drop()
+    elif connection.closing:
+        if now - connection.closing_since > linger_timeout(requests):
+            connection.drop()
+    elif connection.is_reading_request():
+        if is_request_overdue(requests, connection.last_read_at, now):
+            requests.abort_request(InvalidRequestError(408, "the request did not come whole in time"))
+    elif connection.is_idle():
+        timeout = idle_timeout if requests.any_request_started else READ_TIMEOUT
+        if may_close_client(connection, timeout, now):
+            connection.drop()
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -1,4 +1,4 @@
-"""Clients of a run: most behave, others leave, half-close, pipeline, write slowly or send no whole request."""
+"""Clients of a run: most behave; others leave, half-close, pipeline, write slowly or send half a request."""
 
 from __future__ import annotations
 
--- a/tests/test_body_streaming.py
+++ b/tests/test_body_streaming.py
@@ -15,6 +15,7 @@
     LARGE_BODY_STALL_TIMEOUT,
     is_body_stalled,
 )
+from quota_gateway.downstream.connection_timeouts import enforce_timeouts
 from quota_gateway.model.actions import Action, Reject, SetTimer, StartAttempt
 from quota_gateway.model.events import (
     RequestBodyConsumed,
@@ -299,7 +300,7 @@
         )
         (connection,) = connections
         for idle_time, times_out in ((stall_timeout - 0.1, False), (stall_timeout + 0.1, True)):
-            connection.enforce_timeouts(connection.last_read_at + idle_time, 100.0)
+            enforce_timeouts(connection, connection.last_read_at + idle_time, 100.0)
             assert connection.ended == times_out
         assert (await client.read_response())[0] == 408
 
