--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,7 @@
 import collections
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -55,11 +56,20 @@
                 print(f"    {event.at:.4f} {event.source:16} {event.name} {event.fields}")
 
 
+async def run_until_signal(control: Control) -> None:
+    """Play a run; SIGINT and SIGTERM end it, and every process of it."""
+    task = asyncio.ensure_future(control.run())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    await task
+
+
 def play(seed: int, size: RunSize, keep: pathlib.Path | None) -> int:
     """Play one run, print what it found, and return the number of violations."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     began_at = time.monotonic()
-    asyncio.run(Control(seed, size, folder).run())
+    asyncio.run(run_until_signal(Control(seed, size, folder)))
     history = read_history(folder)
     violations = Oracle(history, size).check()
     answers = collections.Counter(event.fields["status"] for event in history.named("answer"))
@@ -89,7 +99,11 @@
         clients_each=arguments.clients_each,
         seconds=arguments.seconds,
     )
-    violations = sum(play(seed, size, arguments.keep) for seed in arguments.seeds)
+    try:
+        violations = sum(play(seed, size, arguments.keep) for seed in arguments.seeds)
+    except asyncio.CancelledError:
+        print("ended by a signal")
+        return 2
     print(f"{len(arguments.seeds)} runs, {violations} violations")
     return 1 if violations else 0
 
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -87,3 +87,27 @@
                 await asyncio.sleep(0.01)
         _, newest = await processes.start()
         await assert_out_of_service(processes, newest)
+
+
+async def test_a_process_learns_the_older_ones_state_though_the_folder_failed_all_through_its_start(
+    tmp_path: pathlib.Path,
+) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    folder = tmp_path / "shared"
+    folder.mkdir()
+    async with process_group(folder) as processes:
+        _, older = await processes.start()
+        await take_out_of_service(processes, older)
+        faults.fail_folder(errno.EIO)
+        _, newer = await processes.start(faults.environment)  # it serves, as clients wait
+        assert (await processes.metrics(newer))["targets_disabled"] == 0
+        faults.fail_folder(0)
+        async with asyncio.timeout(EVENT_TIMEOUT):
+            while (await processes.metrics(newer))["targets_disabled"] != 1:
+                await asyncio.sleep(0.02)
+        # the older process knows that the newer one serves, and that one can be found in turn
+        async with asyncio.timeout(EVENT_TIMEOUT):
+            while (await processes.metrics(newer))["success.lookup"] == 0:
+                assert await processes.request_status(1) == 200
+        _, newest = await processes.start()
+        await assert_out_of_service(processes, newest)
