The older process is looked for until its folder works, also after the start

Cause: restore_from_older gave up with the start's 2 s, and published its own socket in place of the older one's as soon as the folder worked (coordinator.py). Change: the search goes on; the state is restored and the older process told that this one serves when it is found, and only then this one's socket is published.

--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -64,23 +64,33 @@
         self._acceptor = Acceptor(self._create_link, RETRY_DELAY)
         self._publish_timer: asyncio.TimerHandle | None = None  # while the folder fails
         self._is_closed = False
+        self._is_serving = False
+        self._search: asyncio.Task[None] | None = None  # for the older process
         self._restore_finished = asyncio.Event()
         # operators' commands to apply again after the restore; None once no state can arrive any more
         self._deferred_commands: list[OperatorCommand] | None = []
 
     async def restore_from_older(self) -> None:
         """Request and restore the state of an older process; start without it if there is none in time."""
+        self._search = self.loop.create_task(self._link_to_older())
         try:
             async with asyncio.timeout(STATE_TRANSFER_TIMEOUT):
-                connection = await self._connect_to_older()
-                if connection is not None:
-                    _, link = await self.loop.create_unix_connection(self._create_link, sock=connection)
-                    link.send(Hello())
+                await asyncio.shield(self._search)  # it goes on while the folder fails
+                if self.links:
                     await self._restore_finished.wait()
         except TimeoutError:
             log.warning("the older process did not send its state in time")
-        if not self.links:
+
+    async def _link_to_older(self) -> None:
+        """Request the older process's state, as soon as it is found; it may be after this process serves."""
+        connection = await self._connect_to_older()
+        if connection is None:
             self._deferred_commands = None
+            return
+        _, link = await self.loop.create_unix_connection(self._create_link, sock=connection)
+        link.send(Hello())
+        if self._is_serving:
+            link.send(Serving())
 
     async def _connect_to_older(self) -> socket.socket | None:
         """Return a connection to the older process, None if there is none; a folder that fails is retried."""
@@ -103,9 +113,17 @@
 
     def announce_serving(self) -> None:
         """Notify the older process that this one serves clients, and listen for a newer one."""
+        self._is_serving = True
         for link in self.links:
             link.send(Serving())
-        self._publish()
+        if self._search is not None and not self._search.done():
+            self._search.add_done_callback(self._publish_after_search)  # the older one's socket is needed yet
+        else:
+            self._publish()
+
+    def _publish_after_search(self, search: asyncio.Task[None]) -> None:
+        if not self._is_closed:
+            self._publish()
 
     def _publish(self) -> None:
         """Listen for a newer process in the folder; while that fails it is tried again."""
@@ -129,20 +147,28 @@
 
     def broadcast(self, notification: Notification) -> None:
         """Send an operator's command or charged units to the other process, if there is one."""
-        if self._deferred_commands is not None and self.links and not isinstance(notification, UnitsCharged):
-            self._deferred_commands.append(notification)
+        if not isinstance(notification, UnitsCharged):
+            self._defer(notification)
         for link in self.links:
             link.send(notification)
 
+    def _defer(self, command: OperatorCommand) -> None:
+        """Keep a command to apply it again, while a state may arrive that does not know of it."""
+        is_searching = self._search is not None and not self._search.done()
+        if self._deferred_commands is not None and (self.links or is_searching):
+            self._deferred_commands.append(command)
+
     def close(self) -> None:
         """Stop listening and close the links."""
+        self._is_closed = True
+        if self._search is not None:
+            self._search.cancel()
         if self._publish_timer is not None:
             self._publish_timer.cancel()
         self._acceptor.close()
         for link in list(self.links):
             link.close()
         self._folder.close()
-        self._is_closed = True
 
     def link_opened(self, link: ProcessLink) -> None:
         """Share the capacity with the other process."""
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -103,7 +103,7 @@
         assert (await processes.metrics(newer))["targets_disabled"] == 0
         faults.fail_folder(0)
         async with asyncio.timeout(EVENT_TIMEOUT):
-            while (await processes.metrics(newer))["targets_disabled"] != 1:
+            while (await processes.metrics(newer))["targets_disabled"] != 1:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
         # the older process knows that the newer one serves, and that one can be found in turn
         async with asyncio.timeout(EVENT_TIMEOUT):
