--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -21,7 +21,8 @@
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import PeerProcessChanged, SetDraining, SetMaintenance, StateSnapshot
 from quota_gateway.model.outcomes import Outcome
-from tests.fakes import EVENT_TIMEOUT, HOST, send_success_after
+from tests.fakes import EVENT_TIMEOUT, HOST, http_response, send_success_after
+from tests.fault_injection.injector import FaultInjector
 from tests.harness import (
     READY_REQUEST,
     Client,
@@ -32,6 +33,7 @@
 )
 from tests.policy_harness import make_attempt_ended, make_engine, make_request
 from tests.test_gateway_process import ROOT, RUN
+from tests.upstream_harness import respond_with
 
 
 def forwarded(engine: PolicyEngine, number: int, units: float) -> list[StartAttempt | UnitsCharged]:
@@ -221,6 +223,35 @@
         assert not harness.backends[0].requests and metrics["targets_disabled"] == 1
 
 
+@pytest.mark.parametrize("step", [-3600.0, 3600.0])
+async def test_a_quota_in_use_goes_on_though_the_wall_clock_was_stepped(
+    step: float, tmp_path: pathlib.Path
+) -> None:
+    faults = FaultInjector(tmp_path / "faults")
+    folder = tmp_path / "shared"
+    folder.mkdir()
+    async with process_group(folder) as processes:
+
+        async def status(number: int, units: str) -> int:
+            client = await processes.harness.connect_client()
+            text = request(number, plan="pro", units=units, budget=900.0, Connection="close")
+            return (await client.exchange(text))[0]
+
+        for backend in processes.harness.backends:
+            backend.script = [respond_with(http_response(200))] * 20  # without Billed-Units
+        older, _ = await processes.start()
+        spent_at = asyncio.get_running_loop().time()
+        assert await status(1, "8") == await status(2, "4") == 200  # the whole burst of 12 units
+        faults.step_wall_clock(step)
+        await processes.start(faults.environment)
+        older.send_signal(signal.SIGTERM)
+        await older.wait()
+        assert await status(3, "8") == await status(4, "8") == 200
+        elapsed = asyncio.get_running_loop().time() - spent_at
+        # from 4 units a second, this gateway's part of the quota, to 8, all of it, whatever the clock says
+        assert 16.0 / 8.0 <= elapsed <= 16.0 / 4.0 + 1.0
+
+
 async def test_a_maintenance_command_to_either_process_applies_to_both(tmp_path: pathlib.Path) -> None:
     async with process_group(tmp_path) as processes:
         _, old = await processes.start()
