--- a/tests/test_endpoint_poller.py
+++ b/tests/test_endpoint_poller.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import cast
 
 import pytest
 
 from quota_gateway.discovery import poller as poller_module
-from quota_gateway.discovery.connection import parse_retry_after
+from quota_gateway.discovery.connection import DiscoveryConnection, parse_retry_after
 from quota_gateway.discovery.endpoint_update import EndpointUpdate
 from quota_gateway.discovery.poll_schedule import MAX_PROPAGATION_DELAY, poll_schedule_for
 from quota_gateway.discovery.poller import EndpointPoller
@@ -236,3 +237,26 @@
 )
 def test_only_a_positive_number_of_seconds_is_taken_as_retry_after(value: bytes, seconds: float) -> None:
     assert parse_retry_after(value) == seconds
+
+
+class SilentTransport:
+    """Takes what is written."""
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+
+async def test_the_retry_after_of_an_answer_does_not_count_for_a_later_error() -> None:
+    connection = DiscoveryConnection()
+    connection.connection_made(cast(asyncio.Transport, SilentTransport()))
+    answer = connection.request("/", "host")
+    connection.data_received(http_response(200, b"{}", "Retry-After: 5"))
+    assert await answer == b"{}"
+    refused = connection.request("/", "host")
+    connection.data_received(http_response(503))
+    with pytest.raises(DiscoveryUnavailableError) as raised:
+        await refused
+    assert raised.value.retry_after == 0.0
