A Retry-After of discovery counts for its own answer only

Cause: DiscoveryConnection kept the header of an earlier answer (discovery/connection.py, on_header). Change: each request begins without one. Before: the test's 503 brought 5 s.

--- a/quota_gateway/discovery/connection.py
+++ b/quota_gateway/discovery/connection.py
@@ -47,6 +47,7 @@
         """
         assert self.transport is not None
         self.body.clear()
+        self.retry_after = 0.0
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         return self.response
