Requests in the queue of a hot restart count from its start

Cause: the newer process took the queue of an inherited socket to be of any age, so that pipelined requests, whose times the kernel does not tell one by one, were rejected in its first 0.05 s. Change: where an older process has just sent its state the queue is as old as that.

--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -80,14 +80,14 @@
             self.drained_since = self.clock()
         self.draining = enabled
 
-    def listen(self, listener: socket.socket, is_inherited: bool = False) -> None:
+    def listen(self, listener: socket.socket, is_queue_old: bool = False) -> None:
         """Accept the connections of a listening socket, which this object closes.
 
-        In the queue of an inherited one connections may wait since any time.
+        With `is_queue_old` connections may have waited in its queue since any time.
         """
         self.listener = listener
         now = self.clock()
-        self.queue_bound = ArrivalBound(self.loop_monitor, UNKNOWN_TIME if is_inherited else now, now)
+        self.queue_bound = ArrivalBound(self.loop_monitor, UNKNOWN_TIME if is_queue_old else now, now)
         self.loop.add_reader(listener, self.accept)
 
     def set_superseded(self, enabled: bool) -> None:
--- a/quota_gateway/gateway_process.py
+++ b/quota_gateway/gateway_process.py
@@ -7,7 +7,6 @@
 import gc
 import logging
 import signal
-import socket
 import time
 from collections.abc import Callable
 
@@ -26,12 +25,10 @@
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import SetDraining, SetMaintenance
 from quota_gateway.shutdown import ACCEPT_WINDOW, GracefulShutdown, shutdown_timeout_for
-from quota_gateway.sockets.addresses import Address, format_address
-from quota_gateway.sockets.listening import bind, inherit
-from quota_gateway.transient_errors import is_transient
+from quota_gateway.sockets.addresses import format_address
+from quota_gateway.sockets.listening import bind_when_possible, inherit
 from quota_gateway.upstream.connection_pool import ConnectionPool
 
-BIND_RETRY_DELAY = 0.1  # seconds after which a listening socket that could not be had is tried again
 BIND_TIMEOUT = 8.0  # seconds; a gateway should be ready within 10
 ADMIN_RETRY_DELAY = 0.5  # seconds after which the admin server tries again to listen
 MAX_FIRST_LIST_TIMEOUT = 1.0  # seconds that a start waits for the first endpoint list from discovery
@@ -181,7 +178,7 @@
         """Begin to serve; OSError where an address or descriptor can't be listened on."""
         self._open_admin()
         if self.listen_descriptor is None:
-            self.listener.listen(await self._bind(self.listen_address))
+            self.listener.listen(await bind_when_possible(self.listen_address, BIND_TIMEOUT))
         self.discovery.start()
         restoring = None
         if self.hot_restart is not None:
@@ -191,21 +188,12 @@
             await restoring
         self.endpoint_list_settled = True
         if self.listen_descriptor is not None:  # until now an older process accepts what is in the queue
-            self.listener.listen(inherit(self.listen_descriptor), is_inherited=True)
+            # an older process that has just answered has accepted what was in its queue
+            has_acceptor = self.hot_restart is not None and self.hot_restart.is_older_alive()
+            self.listener.listen(inherit(self.listen_descriptor), is_queue_old=not has_acceptor)
         if self.hot_restart is not None:
             self.hot_restart.announce_serving()
 
-    async def _bind(self, address: Address) -> socket.socket:
-        """Return a listening socket, after some time if the system is short of sockets."""
-        retry_until = self.loop.time() + BIND_TIMEOUT
-        while True:
-            try:
-                return bind(address)
-            except OSError as error:
-                if not is_transient(error) or self.loop.time() >= retry_until:
-                    raise
-            await asyncio.sleep(BIND_RETRY_DELAY)
-
     def _open_admin(self) -> None:
         """Have the admin server listen, once it can: clients can be served without it."""
         if self.admin_address is None:
--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -81,6 +81,10 @@
         except TimeoutError:
             log.warning("the older process did not send its state in time")
 
+    def is_older_alive(self) -> bool:
+        """Return whether an older process has sent its state, and its link is open."""
+        return bool(self.links) and self._restore_finished.is_set()
+
     async def _link_to_older(self) -> None:
         """Request the older process's state, as soon as it is found; it may be after this process serves."""
         connection = await self._connect_to_older()
--- a/quota_gateway/sockets/listening.py
+++ b/quota_gateway/sockets/listening.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 from quota_gateway.sockets.addresses import Address
+from quota_gateway.transient_errors import is_transient
 
+RETRY_DELAY = 0.1  # seconds after which a socket that could not be had is tried again
 BACKLOG = 1024  # connections that the kernel may queue: a burst of clients, until the loop accepts them
 
 
@@ -26,6 +29,22 @@
     return listener
 
 
+async def bind_when_possible(address: Address, timeout: float) -> socket.socket:
+    """Return a listening socket like `bind`; a system short of sockets is asked again for `timeout` seconds.
+
+    Raises OSError for an error that does not pass, or has not passed by then.
+    """
+    loop = asyncio.get_running_loop()
+    retry_until = loop.time() + timeout
+    while True:
+        try:
+            return bind(address)
+        except OSError as error:
+            if not is_transient(error) or loop.time() >= retry_until:
+                raise
+        await asyncio.sleep(RETRY_DELAY)
+
+
 def inherit(descriptor: int) -> socket.socket:
     """Return the listening socket at `descriptor`, which the platform opened, as a non-blocking one.
 
