The test of short descriptors sends a request again that crossed a close

Trace: 13 failures in 48 loaded runs, in each the gateway evicted the test's own connection, unused for 0.100 to 0.138 s by its clock, before the test's next request was sent or as it was; the test process came round that late. The protocol allows this close, and has the client send once more, which the test's other client does and this one did not. In place of it the test asks for no violated invariant, which counts connections that are closed on a request.

--- a/tests/test_descriptor_exhaustion.py
+++ b/tests/test_descriptor_exhaustion.py
@@ -100,13 +100,20 @@
 
 
 async def assert_counter_is_called(gateway: GatewayHarness, number: int) -> None:
-    """Send requests near their customer's quota, which are counted."""
+    """Send requests near their customer's quota, which are counted.
+
+    A connection that rests for over 0.1 s may be closed for others, as clients wait for descriptors. A
+    request that crosses this close is sent once more on a new one, as the protocol has it.
+    """
     client = await gateway.connect_client()
     assert (await client.exchange(READY_REQUEST))[0] == 200
     async with asyncio.timeout(EVENT_TIMEOUT):
         while not gateway.counter.increments:
             number += 1
-            await client.exchange(request(number, plan="pro", units="8"))
+            try:
+                await client.exchange(request(number, plan="pro", units="8"))
+            except (OSError, asyncio.IncompleteReadError):
+                client = await gateway.connect_client()
             await asyncio.sleep(POLL_INTERVAL)
 
 
@@ -141,6 +148,7 @@
         await restart_discovery_and_counter(gateway)
         number = await assert_endpoint_change_arrives(gateway, 1)
         await assert_counter_is_called(gateway, number)
+        assert (await gateway.metrics())["violations"] == 0  # no connection was closed on a request
         assert child.returncode is None
         await clients.stop()
         await assert_clean_exit(child)
