--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -5,11 +5,6 @@
 import asyncio
 from typing import Protocol
 
-from quota_gateway.downstream.connection_limits import (
-    READ_TIMEOUT,
-    is_request_overdue,
-    linger_timeout,
-)
 from quota_gateway.downstream.flow_control import FlowControlledConnection, Listener
 from quota_gateway.downstream.half_close import DispatchingListener, HalfClose
 from quota_gateway.downstream.request_handler import RequestHandler
@@ -17,6 +12,7 @@
 from quota_gateway.downstream.response_queue import FlushResult, ResponseQueue
 from quota_gateway.downstream.response_writer import ResponseWriter
 from quota_gateway.errors import InvalidRequestError
+from quota_gateway.invariants import Invariant
 from quota_gateway.sockets.kernel_state import has_peer_closed
 
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on one connection; further ones stay unread
@@ -139,7 +135,8 @@
         partial_request = self.in_request and writer is not self.requests.streaming_writer
         if not self.listener.is_shutting_down() or self.unread or partial_request:
             return False
-        if self.responses[-1] is not writer:
+        is_last = bool(self.responses) and self.responses[-1] is writer  # there are none of a lost connection
+        if not is_last or self.has_unread_input():
             return False
         self.ended = True
         return True
@@ -179,29 +176,36 @@
         for request_id in self.responses.take_incomplete():
             self.listener.dispatcher.client_disconnected(request_id)
 
-    def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
-        """Enforce the timeouts; a connection closes soon, or gets an error, whatever its client sent."""
-        requests = self.requests
-        if self.closing:
-            if now - self.closing_since > linger_timeout(requests):
-                self.drop()
-        elif self.write_paused:
-            if self.unread_response_timer.has_expired(now, self.unsent_bytes()):
-                self.drop()
-        elif self.is_reading_request():
-            if is_request_overdue(requests, self.last_read_at, now):
-                requests.abort_request(InvalidRequestError(408, "the request did not come whole in time"))
-        elif self.is_idle():
-            timeout = idle_timeout if requests.any_request_started else READ_TIMEOUT
-            if now - self.idle_since > timeout and not self.has_unread_input():
-                self.drop()
-
     def is_reading_request(self) -> bool:
         """Return True if a request is incomplete for no other reason than that its client is slow."""
         if not self.in_request or self.unread or self.read_paused:
             return False
         return self.responses.is_first(self.requests.streaming_writer)
 
+    def is_in_partial_request(self) -> bool:
+        """Return True if a request is partly read, and nothing else is in flight here."""
+        return self.in_request and not (self.responses or self.closing or self.unread)
+
+    def last_used_at(self) -> float:
+        """Return when the connection last carried bytes of a request or a response, in seconds."""
+        return max(self.idle_since, self.requests.received_at)
+
+    def end(self) -> None:
+        """Close after the last response."""
+        self.check_close()
+        super().end()
+
+    def drop(self) -> None:
+        """Close at once a connection that awaits no response, or that had its time to read one."""
+        self.check_close()
+        super().drop()
+
+    def check_close(self) -> None:
+        """Check the invariant that no request is left without its response."""
+        unanswered = list(self.responses.unanswered())
+        if unanswered:
+            self.listener.dispatcher.invariants.violated(Invariant.CLOSED_ANSWERED, unanswered)
+
     def is_idle(self) -> bool:
         """Return True if no request is in flight here or partly read."""
         return not (self.responses or self.closing or self.unread or self.in_request)
--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -13,9 +13,11 @@
 from quota_gateway.downstream.client_connection import ClientConnection
 from quota_gateway.downstream.connection_eviction import MAX_EVICTIONS, end_if_unused, evict_unused
 from quota_gateway.downstream.connection_limits import CROWDED_FRACTION, CROWDED_IDLE_TIMEOUT, IDLE_TIMEOUT
+from quota_gateway.downstream.connection_timeouts import enforce_timeouts
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
 from quota_gateway.downstream.request_router import RequestRouter
 from quota_gateway.model.settings import Settings
+from quota_gateway.policy.permissions import may_close_client
 from quota_gateway.sockets.dialing import RETRY_DELAY, SYSTEM_SHORTAGE_ERRNOS
 
 SWEEP_INTERVAL = 0.1  # seconds between checks of the connections' timeouts
@@ -78,14 +80,14 @@
             self.drained_since = self.clock()
         self.draining = enabled
 
-    def listen(self, listener: socket.socket, is_inherited: bool = False) -> None:
+    def listen(self, listener: socket.socket, is_queue_old: bool = False) -> None:
         """Accept the connections of a listening socket, which this object closes.
 
-        In the queue of an inherited one connections may wait since any time.
+        With `is_queue_old` connections may have waited in its queue since any time.
         """
         self.listener = listener
         now = self.clock()
-        self.queue_bound = ArrivalBound(self.loop_monitor, UNKNOWN_TIME if is_inherited else now, now)
+        self.queue_bound = ArrivalBound(self.loop_monitor, UNKNOWN_TIME if is_queue_old else now, now)
         self.loop.add_reader(listener, self.accept)
 
     def set_superseded(self, enabled: bool) -> None:
@@ -167,7 +169,7 @@
         idle_timeout = CROWDED_IDLE_TIMEOUT if is_crowded else IDLE_TIMEOUT
         ends_unused = self.draining and now - self.drained_since >= DRAIN_DELAY
         for connection in list(self.connections):
-            connection.enforce_timeouts(now, idle_timeout)
+            enforce_timeouts(connection, now, idle_timeout)
             if ends_unused:
                 end_if_unused(connection, now)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL, self.sweep)
@@ -216,7 +218,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request; what already waits there is read and answered first."""
         for connection in list(self.connections):
-            if connection.is_idle() and not connection.has_unread_input():
+            if may_close_client(connection, 0.0, self.clock()):
                 connection.end()
 
     def close(self) -> None:
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -34,6 +34,9 @@
     def connection_closed(self, connection: UpstreamConnection) -> None:
         """Take note of the end of a connection, established or not."""
 
+    def check_send(self, attempt: UpstreamAttempt, endpoint: EndpointConnections, now: float) -> None:
+        """Check the invariants of an attempt that is about to be written."""
+
     def release(self, connection: UpstreamConnection) -> None:
         """Take back a connection that is fit for another attempt."""
 
@@ -76,6 +79,7 @@
     def send_attempt(self, attempt: UpstreamAttempt, now: float) -> None:
         """Send the attempt's request, of a streamed body as much as there is."""
         assert self.transport is not None
+        self.pool.check_send(attempt, self.endpoint, now)
         self.attempt = attempt
         attempt.connection = self
         self._response.reset()
@@ -107,8 +111,8 @@
             transport.write(chunk)
         if self._is_writing_paused or body_stream.chunks or not body_stream.is_complete:
             return
-        if body_stream.trailer:
-            transport.write(body_stream.trailer)
+        if end := body_stream.take_end():
+            transport.write(end)
 
     def pause_writing(self) -> None:
         """Stop sending: the kernel's send buffer is full."""
