--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -19,6 +19,7 @@
     request,
     running_gateway,
 )
+from tests.virtual_clock import virtual_clock_loop, virtual_unix_clock
 
 
 async def test_request_and_response_are_forwarded_unchanged() -> None:
@@ -357,3 +358,19 @@
         )
         await harness.discovery.wait_for_requests(polls + 1)
         assert (await client.exchange(READY_REQUEST))[0] == 503
+
+
+@pytest.mark.virtual_clock
+async def test_a_body_that_stalls_after_a_slow_head_is_answered_within_three_seconds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("quota_gateway.gateway_process.start_clock", virtual_unix_clock)
+    async with running_gateway() as harness:
+        connected_at = virtual_clock_loop().now
+        client = await harness.connect_client()
+        head, _, _ = request(1, "extract").partition(b"\r\n\r\n")
+        client.send(head[:50])
+        await asyncio.sleep(2.3)
+        client.send(head[50:] + b"\r\n\r\nt")
+        assert (await client.read_response())[0] == 408
+        assert virtual_clock_loop().now - connected_at < 3.0
