A body that stalls after a slow head has its error within 3 s of the connect

Cause: is_body_stalled gave a body 2 s of its own, whatever its head had taken (connection_limits.py). Change: once the whole request has taken as long as a head may, a slow body may rest for 0.25 s. Before: 408 after 4.4 s.

--- a/quota_gateway/downstream/connection_limits.py
+++ b/quota_gateway/downstream/connection_limits.py
@@ -8,6 +8,7 @@
 READ_TIMEOUT = 2.5  # seconds for a complete head, and for a new connection's first byte: an error or a close
 # is due within 3
 BODY_STALL_TIMEOUT = 2.0  # seconds without a byte, for a body of which little has been read
+LATE_STALL_TIMEOUT = 0.25  # seconds; the same, for a request that takes longer than a head may already
 LARGE_BODY_STALL_TIMEOUT = 6.0  # seconds; the same, for a body that exceeds the buffered size already
 MIN_BODY_RATE = 16 * 1024  # bytes a second, for a body of which little has been read: a slower one never ends
 IDLE_TIMEOUT = 10.0  # seconds without a request, after which a connection is closed
@@ -52,7 +53,9 @@
     if request.body_size >= MAX_BUFFERED_BYTES:
         return stalled_for > LARGE_BODY_STALL_TIMEOUT
     elapsed = now - request.body_started_at
-    is_slow = elapsed > READ_TIMEOUT and request.body_size < MIN_BODY_RATE * elapsed
+    is_late = now - request.request_started_at > READ_TIMEOUT
+    stops = elapsed > READ_TIMEOUT or stalled_for > LATE_STALL_TIMEOUT
+    is_slow = is_late and stops and request.body_size < MIN_BODY_RATE * elapsed
     return is_slow or stalled_for > BODY_STALL_TIMEOUT
 
 
