--- a/tests/fault_injection/system_faults.c
+++ b/tests/fault_injection/system_faults.c
@@ -134,25 +134,19 @@
     return control->open_errno && configuration && strcmp(path, configuration) == 0;
 }
 
-int open(const char *path, int flags, ...) {
-    REAL(open);
-    va_list rest;
-    va_start(rest, flags);
-    int mode = va_arg(rest, int);
-    va_end(rest);
-    if (opens_configuration(path)) return fail(control->open_errno);
-    return real(path, flags, mode);
-}
-
-int open64(const char *path, int flags, ...) {
-    REAL(open64);
-    va_list rest;
-    va_start(rest, flags);
-    int mode = va_arg(rest, int);
-    va_end(rest);
-    if (opens_configuration(path)) return fail(control->open_errno);
-    return real(path, flags, mode);
-}
+/* open and open64 are the same call under two names */
+#define DEFINE_OPEN(name) \
+    int name(const char *path, int flags, ...) { \
+        REAL(name); \
+        va_list rest; \
+        va_start(rest, flags); \
+        int mode = va_arg(rest, int); \
+        va_end(rest); \
+        if (opens_configuration(path)) return fail(control->open_errno); \
+        return real(path, flags, mode); \
+    }
+DEFINE_OPEN(open)
+DEFINE_OPEN(open64)
 
 int epoll_pwait(int fd, struct epoll_event *events, int count, int timeout, const sigset_t *mask) {
     REAL(epoll_pwait);
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -20,6 +20,13 @@
 ERRORS = [errno.EIO, errno.ENOSPC]
 
 
+def failing_folder(parent: pathlib.Path) -> tuple[FaultInjector, pathlib.Path]:
+    """Return a new shared folder, and the faults of the processes that are started with them."""
+    folder = parent / "shared"
+    folder.mkdir()
+    return FaultInjector(parent / "faults"), folder
+
+
 async def until_published(folder: pathlib.Path) -> None:
     """Wait until a process listens in the folder."""
     async with asyncio.timeout(EVENT_TIMEOUT):
@@ -41,9 +48,7 @@
 async def test_a_process_is_found_though_the_folder_failed_as_it_began_to_serve(
     error: int, tmp_path: pathlib.Path
 ) -> None:
-    faults = FaultInjector(tmp_path / "faults")
-    folder = tmp_path / "shared"
-    folder.mkdir()
+    faults, folder = failing_folder(tmp_path)
     async with process_group(folder) as processes:
         faults.fail_folder(error)
         _, older = await processes.start(faults.environment)
@@ -60,9 +65,7 @@
 async def test_a_process_finds_the_older_one_though_the_folder_failed_as_it_started(
     error: int, tmp_path: pathlib.Path
 ) -> None:
-    faults = FaultInjector(tmp_path / "faults")
-    folder = tmp_path / "shared"
-    folder.mkdir()
+    faults, folder = failing_folder(tmp_path)
     async with process_group(folder) as processes:
         _, older = await processes.start()
         await take_out_of_service(processes, older)
@@ -92,9 +95,7 @@
 async def test_a_process_learns_the_older_ones_state_though_the_folder_failed_all_through_its_start(
     tmp_path: pathlib.Path,
 ) -> None:
-    faults = FaultInjector(tmp_path / "faults")
-    folder = tmp_path / "shared"
-    folder.mkdir()
+    faults, folder = failing_folder(tmp_path)
     async with process_group(folder) as processes:
         _, older = await processes.start()
         await take_out_of_service(processes, older)
