A hot restart link that can't be made does not end the start

Change: it is logged, and clients are served. The bytes that a connection has yet to send are asked for only while it closes or its client does not read, as before: the timer of an unread response is stopped when reading goes on.

--- a/quota_gateway/downstream/connection_timeouts.py
+++ b/quota_gateway/downstream/connection_timeouts.py
@@ -11,10 +11,8 @@
 def enforce_timeouts(connection: ClientConnection, now: float, idle_timeout: float) -> None:
     """Close the connection, or answer the request that is partly read, where a timeout is over."""
     requests = connection.requests
-    unsent_bytes = connection.unsent_bytes()
-    if not unsent_bytes:
-        connection.unread_response_timer.stop()
-    if unsent_bytes and (connection.closing or connection.write_paused):
+    is_sending = connection.closing or connection.write_paused
+    if is_sending and (unsent_bytes := connection.unsent_bytes()):
         connection.closing_since = now  # of a closing one: its client has yet to read the last response
         if connection.unread_response_timer.has_expired(now, unsent_bytes):
             connection.drop()
--- a/quota_gateway/downstream/flow_control.py
+++ b/quota_gateway/downstream/flow_control.py
@@ -126,6 +126,7 @@
     def resume_writing(self) -> None:
         """Note that the client reads again (asyncio)."""
         self.write_paused = False
+        self.unread_response_timer.stop()
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes that the kernel has not taken yet."""
--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -91,7 +91,15 @@
         if connection is None:
             self._deferred_commands = None
             return
-        _, link = await self.loop.create_unix_connection(self._create_link, sock=connection)
+        try:
+            _, link = await self.loop.create_unix_connection(self._create_link, sock=connection)
+        except (
+            OSError
+        ) as error:  # it has ended meanwhile, or there is no memory: clients are served all the same
+            log.warning("the older process can't be linked to: %s", error.strerror or error)
+            connection.close()
+            self._deferred_commands = None
+            return
         link.send(Hello())
         if self._is_serving:
             link.send(Serving())
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import pathlib
@@ -280,6 +281,31 @@
         assert await processes.call(new, "GET", "/healthcheck") == 200
 
 
+async def test_a_link_that_can_not_be_made_does_not_end_the_start(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with socket.socket(socket.AF_UNIX) as older:
+        older.bind(str(tmp_path / SOCKET_NAME))
+        older.listen()
+        async with running_gateway() as harness:
+            process = harness.process
+            restarting = coordinator.HotRestartCoordinator(
+                str(tmp_path), process.dispatcher, process.discovery.answered, lambda superseded: None
+            )
+
+            class LoopWithoutMemory:
+                create_task = restarting.loop.create_task
+                sock_connect = restarting.loop.sock_connect
+
+                async def create_unix_connection(self, *arguments: object, **options: object) -> None:
+                    raise OSError(errno.ENOMEM, "no memory")
+
+            monkeypatch.setattr(restarting, "loop", LoopWithoutMemory())
+            await restarting.restore_from_older()
+            assert not restarting.links
+            restarting.close()
+
+
 async def test_a_peers_command_for_an_endpoint_that_is_not_listed_yet_counts_once_it_is(
     tmp_path: pathlib.Path,
 ) -> None:
