Requests keep their deadlines, and responses their version, without a property each

Change: the client's deadline and the arrival are kept in the request, the writer is given its version, and outcomes hash by identity.

--- a/quota_gateway/dispatch/active_request.py
+++ b/quota_gateway/dispatch/active_request.py
@@ -46,8 +46,10 @@
 
     __slots__ = (
         "answered",
+        "arrived_at",
         "attempt_start_limit",
         "attempts",
+        "client_deadline",
         "deadline",
         "in_flight",
         "observer",
@@ -68,6 +70,11 @@
         self.observer = observer
         timeout = self.time_budget if request.body_stream is None else BODY_UPLOAD_TIMEOUT
         self.deadline = request.received_at + timeout
+        self.arrived_at = request.received_at  # seconds: when the request's last byte came
+        # seconds: until when the client waits; infinite while its body is still on its way
+        self.client_deadline = (
+            math.inf if request.body_stream is not None else self.arrived_at + request.budget
+        )
         self.attempts: list[UpstreamAttempt] = []
         self.in_flight = 0  # attempts that have not ended
         self.answered = False
@@ -105,18 +112,11 @@
             request.body_stream is not None,
         )
 
-    @property
-    def arrived_at(self) -> float:
-        """When the request's last byte came, in seconds."""
-        return self.request.received_at
-
-    @property
-    def client_deadline(self) -> float:
-        """Until when the client waits, in seconds; infinite while its body is still on its way."""
-        body_stream = self.request.body_stream
-        if body_stream is not None and not body_stream.is_complete:
-            return math.inf
-        return self.request.received_at + self.request.budget
+    def body_received(self, received_at: float) -> None:
+        """Count the client's time from the last byte of a streamed body, in seconds."""
+        self.request.received_at = received_at
+        self.arrived_at = received_at
+        self.client_deadline = received_at + self.request.budget
 
     def client_disconnected(self) -> bool:
         """Return True if the client has closed its side."""
--- a/quota_gateway/dispatch/dispatcher.py
+++ b/quota_gateway/dispatch/dispatcher.py
@@ -117,7 +117,7 @@
         active_request = self._registry.find_unanswered(request_id)
         if active_request is None or active_request.request.body_stream is None:
             return
-        active_request.request.received_at = received_at
+        active_request.body_received(received_at)
         active_request.request.body_stream.finish()
         if active_request.streaming_attempt is not None:
             return  # its response is streamed already, and has no deadline
--- a/quota_gateway/dispatch/request_registry.py
+++ b/quota_gateway/dispatch/request_registry.py
@@ -49,11 +49,8 @@
             return
         active_request.answered = True
         self.unanswered_count -= 1
-        # one that was late when it was read is answered then
-        due = max(active_request.client_deadline, active_request.request.read_at)
-        is_late = self._clock() > due + ANSWER_SLACK
-        if is_late and status is not None and active_request.streaming_attempt is None:
-            self._invariants.violated(Invariant.ANSWERED_IN_TIME, active_request.request.call_id)
+        if status is not None:
+            self._check_time(active_request)
         if status is not None:
             self._metrics.request_ended(active_request.request.request_class, status)
         if not self.unanswered_count:
@@ -62,6 +59,14 @@
         active_request.respond(status, body, headers)
         active_request.cancel_obsolete_attempts()
 
+    def _check_time(self, active_request: ActiveRequest) -> None:
+        """Check that an answer is in time; a request that was late when it was read is answered then."""
+        late_by = self._clock() - ANSWER_SLACK
+        if late_by <= active_request.client_deadline or late_by <= active_request.request.read_at:
+            return
+        if active_request.streaming_attempt is None:
+            self._invariants.violated(Invariant.ANSWERED_IN_TIME, active_request.request.call_id)
+
     def remove_if_complete(self, active_request: ActiveRequest) -> None:
         """Remove a request that is answered and has no attempt in flight."""
         if not active_request.answered or active_request.in_flight:
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -42,11 +42,6 @@
         self.idle_since = self.last_read_at  # seconds: when the latest responses were written
         self.half_close = HalfClose(listener, self.responses)
 
-    @property
-    def http_version(self) -> str:
-        """The version of the latest request."""
-        return self.requests.http_version
-
     @property
     def in_request(self) -> bool:
         """True while a request is partly read."""
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -98,7 +98,7 @@
         except InvalidRequestError as error:
             self.error = error
             return
-        writer = ResponseWriter(connection, False)
+        writer = ResponseWriter(connection, False, self.http_version)
         self.streaming_writer = writer
         connection.responses.append(writer)
         self.body_stream = request.body_stream
@@ -125,7 +125,7 @@
         if connection.ended:
             return
         keep_alive = self.should_keep_alive()
-        writer = ResponseWriter(connection, keep_alive)
+        writer = ResponseWriter(connection, keep_alive, self.http_version)
         connection.responses.append(writer)
         connection.ended = not keep_alive
         try:
@@ -173,6 +173,6 @@
         if self.streaming_writer is not None:
             self.router.dispatcher.abandon(self.streaming_writer.request_id, error.status)
             return
-        writer = ResponseWriter(connection, False)
+        writer = ResponseWriter(connection, False, self.http_version)
         connection.responses.append(writer)
         writer.send(error.status, f"{error}\n".encode())
--- a/quota_gateway/downstream/response_writer.py
+++ b/quota_gateway/downstream/response_writer.py
@@ -29,10 +29,6 @@
     transport: asyncio.Transport | None
     write_paused: bool  # the transport's buffer is full: the client doesn't read
 
-    @property
-    def http_version(self) -> str:
-        """The version of the latest request."""
-
     def ends_with(self, writer: ResponseWriter) -> bool:
         """Return True if the connection closes after this response because the gateway shuts down."""
 
@@ -61,10 +57,10 @@
         "unsent",
     )
 
-    def __init__(self, connection: ResponseConnection, keep_alive: bool) -> None:
-        """Take the connection, and whether it stays open after this response."""
+    def __init__(self, connection: ResponseConnection, keep_alive: bool, http_version: str) -> None:
+        """Take the connection, whether it stays open after this response, and the request's version."""
         self.connection = connection
-        self.http_version = connection.http_version  # of its request, the latest one by now
+        self.http_version = http_version
         self.keep_alive = keep_alive
         self.request_id = 0  # the dispatcher's id; 0 for a request that was not submitted
         self.unsent: bytes | None = None  # bytes to write; None until the response begins
--- a/quota_gateway/model/outcomes.py
+++ b/quota_gateway/model/outcomes.py
@@ -17,6 +17,10 @@
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
 
+    __hash__ = (
+        object.__hash__
+    )  # members are singletons; the inherited one is slow, and each attempt is counted
+
     @property
     def proves_not_executed(self) -> bool:
         """Whether an attempt with this outcome was certainly not executed, so that a retry is always safe."""
--- a/quota_gateway/policy/permissions.py
+++ b/quota_gateway/policy/permissions.py
@@ -26,13 +26,10 @@
     """What the rules need to know of a request; times are seconds."""
 
     answered: bool
+    arrived_at: float  # when its last byte came
     deadline: float
     attempt_start_limit: float | None  # set when the client half-closes
 
-    @property
-    def arrived_at(self) -> float:
-        """When its last byte came."""
-
     def client_disconnected(self) -> bool:
         """Return True if the client has closed its side, also if the event loop has not reported it yet."""
 
--- a/quota_gateway/upstream/attempt.py
+++ b/quota_gateway/upstream/attempt.py
@@ -40,10 +40,7 @@
 
     answered: bool
     attempt_start_limit: float | None  # set when the client half-closes
-
-    @property
-    def client_deadline(self) -> float:
-        """Until when the client waits; infinite while its body is still on its way."""
+    client_deadline: float  # until when the client waits; infinite while its body is still on its way
 
     def attempt_ended(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Take the result; called exactly once for each attempt."""
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -119,7 +119,7 @@
         attempt.connection = connection
         assert attempt.owner is not None
         owner = attempt.owner
-        owner.client_deadline = now - 1.0  # type: ignore[misc]
+        owner.client_deadline = now - 1.0
         owner.attempt_start_limit = now - 1.0
         pool.retire(endpoint.endpoint_id)
         pool.check_send(attempt, endpoint, now)
