Tests: a stopped gateway's timers call no counter any more

The flaky cases of test_no_attempt_after_disconnect. Trace: in each of seven failures under load the late first byte at a backend was a counter call, '*4 CNT.ADD', of the stopped gateway of an earlier case: its engine's timers go on in the loop, CounterClient.add connects anew, and the counter's old port was by then this backend's. The harness takes the counter away from a stopped gateway.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -237,5 +237,8 @@
     finally:
         if not harness.process.listener.stopping:
             await harness.process.stop(0.0, 0.0)
+        # The loop goes on, and with it the timers of the stopped engine: their calls would go to the port of
+        # the counter, which by then may be another server's.
+        harness.process.dispatcher.counter = None
         for upstream in harness.upstreams:
             await upstream.stop()
