--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -44,6 +44,15 @@
     return task
 
 
+async def client_whose_backend_hangs(harness: GatewayHarness, released: asyncio.Event) -> Client:
+    """Return a client whose first request is at the backend, which answers it once `released` is set."""
+    harness.backends[0].script = [send_success_after(released)]
+    client = await harness.connect_client()
+    client.send(request(1))
+    await harness.backends[0].wait_until(lambda: len(harness.received_requests()) == 1)
+    return client
+
+
 async def assert_served_and_shut_down(client: Client, shutdown: asyncio.Task[None]) -> None:
     """Expect a last response that announces the close, the close itself, and the end of the shutdown."""
     status, headers, _ = await client.read_response()
@@ -85,10 +94,7 @@
 async def test_pipelined_requests_that_arrive_while_a_backend_hangs_are_all_served() -> None:
     backend_released = asyncio.Event()
     async with running_gateway() as harness:
-        harness.backends[0].script = [send_success_after(backend_released)]
-        client = await harness.connect_client()
-        client.send(request(1))
-        await harness.backends[0].wait_until(lambda: len(harness.received_requests()) == 1)
+        client = await client_whose_backend_hangs(harness, backend_released)
         shutdown = await begin_shutdown(harness)
         client.send(request(2) + request(3)[:30])
         await until(lambda: len(harness.process.dispatcher.active_requests) >= 2)
@@ -102,10 +108,7 @@
     """It lies in the kernel when the response before it is sent, which must not announce the close then."""
     backend_released = asyncio.Event()
     async with running_gateway() as harness:
-        harness.backends[0].script = [send_success_after(backend_released)]
-        client = await harness.connect_client()
-        client.send(request(1))
-        await harness.backends[0].wait_until(lambda: len(harness.received_requests()) == 1)
+        client = await client_whose_backend_hangs(harness, backend_released)
         shutdown = await begin_shutdown(harness)
         (connection,) = harness.process.listener.connections
         assert connection.transport is not None
