--- a/review/1/case.py
+++ b/review/1/case.py
@@ -93,7 +93,7 @@
             event["at"])
     text = f"{len(requests)} requests sent, {len(executed)} came to backends, {wrong} with another body"
     bed.record.write(text)
-    print(text)
+    common.say(text)
     if not executed:
         raise RuntimeError("no request came to a backend")
     return wrong > 0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,8 +19,8 @@
 
 BACKENDS = 4  # one of them hangs
 MEBIBYTE = 1024 * 1024
-BODY_SIZES = (4 * MEBIBYTE, 5 * MEBIBYTE, 6 * MEBIBYTE, 7 * MEBIBYTE)  # the pages allow up to 32 MB
-UPLOADS = 24
+BODY_SIZES = tuple(size * MEBIBYTE for size in (4, 5, 6, 7, 5, 6, 4, 2))  # the pages allow up to 32 MB
+UPLOADS = 40
 BUDGET = 2.0  # seconds that a client waits after its last byte
 SLACK = 0.5 + 0.05  # seconds after its time within which the final answer counts, plus that of sockets
 WATCH = 10.0  # seconds after its last byte for which a client stays, to see whether an answer ever comes
@@ -99,7 +99,7 @@
     lost = [upload for upload in taken if upload.is_lost()]
     text = f"{len(uploads)} requests, {len(taken)} sent whole, {len(lost)} of them lost"
     bed.record.write(text)
-    print(text)
+    common.say(text)
     if not taken:
         raise RuntimeError("no request was sent whole")
     return bool(lost)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -145,7 +145,7 @@
     text = (f"{len(first_attempts)} requests of {UNITS} units came to backends; the lowest balance of the "
             f"ceiling's store is {lowest:.1f}, allowed are {-CEILING_SLACK:.0f}")
     bed.record.write(text)
-    print(text)
+    common.say(text)
     if not first_attempts:
         raise RuntimeError("no request was forwarded")
     return lowest < -CEILING_SLACK
--- a/review/stand_ins/bed.py
+++ b/review/stand_ins/bed.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
 import json
 import os
@@ -281,6 +282,12 @@
         self.temporary.cleanup()
 
 
+def say(text: str) -> None:
+    """Print a line; it is of no matter if nobody reads it."""
+    with contextlib.suppress(OSError):
+        print(text, flush=True)
+
+
 async def call(address: str, line: str, timeout: float = 1.0) -> int:
     """Make one HTTP call without a body and return the status, 0 if there is none in time."""
     host, _, port = address.rpartition(":")
@@ -351,5 +358,5 @@
     finally:
         bed.close()
     bed.record.write("BROKEN" if broken else "HELD")
-    print("BROKEN" if broken else "HELD")
+    say("BROKEN" if broken else "HELD")
     return EXIT_BROKEN if broken else EXIT_HELD
