--- a/review/stand_ins/bed.py
+++ b/review/stand_ins/bed.py
@@ -269,11 +269,20 @@
         self.record.write(f"gateway process {process.pid} started")
         return process
 
-    def close(self) -> None:
-        """End all processes, copy the gateways' error output to the record, and remove the folder."""
+    def kill_processes(self) -> None:
+        """Send SIGKILL to the processes that run; it also ends those that are stopped."""
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
+
+    def stop_early(self, *_: object) -> None:
+        """End the run on a signal; without its peers no client goes on waiting."""
+        self.kill_processes()
+        sys.exit(EXIT_COULD_NOT_RUN)
+
+    def close(self) -> None:
+        """End all processes, copy the gateways' error output to the record, and remove the folder."""
+        self.kill_processes()
         for process in self.processes:
             process.wait()
         for path in sorted(self.folder.glob("gateway-*.err")):
@@ -342,7 +351,8 @@
 def run_case(folder: pathlib.Path, play: Callable[[Bed], Any]) -> int:
     """Play a case and return its exit status; `play` returns whether the rule was broken."""
     bed = Bed(folder)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, bed.stop_early)
 
     async def main() -> bool:
         await bed.discovery.start()
