Log responses given up midway; count closes by reason, connections and memory

At the default level nothing told that an attempt was given up while its response was coming, why clients' connections were closed, or how much memory a process had.

Change: a warning with the call's id, endpoint, outcome and bytes; svc.connections_closed by reason, svc.client_connections and svc.resident_bytes; the request log has the bytes received of each attempt. No decision changes.

--- a/quota_gateway/dispatch/attempt_handler.py
+++ b/quota_gateway/dispatch/attempt_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -14,6 +15,10 @@
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
 
+log = logging.getLogger("quota_gateway")
+
+# Outcomes of attempts that this gateway gives up although their response may still be coming.
+GIVEN_UP_OUTCOMES = (Outcome.TIMED_OUT, Outcome.BROKEN_RESPONSE)
 # Smallest time to the first byte that is reported, in seconds. The policy engine takes 0 to mean unknown.
 MIN_TIME_TO_FIRST_BYTE = 1e-6
 
@@ -46,6 +51,15 @@
         self._metrics.attempts_ended[result.outcome] += 1
         if self._request_log.enabled:
             self._request_log.ended(active_request, attempt, result)
+        if attempt.response_bytes and result.outcome in GIVEN_UP_OUTCOMES:
+            call_id = active_request.request.call_id.decode()
+            log.warning(
+                "call %s: response of %s ended as %s after %d bytes",
+                call_id,
+                attempt.endpoint_id,
+                result.outcome.value,
+                attempt.response_bytes,
+            )
         self._answer(active_request, attempt, result)
         elapsed = self._clock() - attempt.waiting_since
         # no request has more units than the maximum, so an endpoint that bills more is in error
--- a/quota_gateway/dispatch/request_log.py
+++ b/quota_gateway/dispatch/request_log.py
@@ -42,7 +42,9 @@
 
     def ended(self, active_request: ActiveRequest, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Log the outcome of an attempt."""
-        self._write(active_request, f"ended {attempt_fields(attempt)} outcome={result.outcome.name.lower()}")
+        outcome = result.outcome.name.lower()
+        received = attempt.response_bytes
+        self._write(active_request, f"ended {attempt_fields(attempt)} outcome={outcome} received={received}")
 
     def answered(self, active_request: ActiveRequest, status: int | None, reason: str) -> None:
         """Log the final response; a status of None means that the client gets none."""
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -12,6 +12,7 @@
 from quota_gateway.downstream.response_queue import FlushResult, ResponseQueue
 from quota_gateway.downstream.response_writer import ResponseWriter
 from quota_gateway.invariants import Invariant
+from quota_gateway.model.close_reasons import CloseReason
 from quota_gateway.sockets.kernel_state import has_peer_closed
 
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on one connection at which reading pauses
@@ -194,6 +195,11 @@
         self.check_all_answered()
         super().close_immediately()
 
+    def close_because(self, reason: CloseReason) -> None:
+        """Close immediately, and count the reason."""
+        self.listener.dispatcher.metrics.connections_closed[reason] += 1
+        self.close_immediately()
+
     def check_all_answered(self) -> None:
         """Check the invariant that a connection closes with no request unanswered."""
         unanswered = list(self.responses.unanswered())
--- a/quota_gateway/downstream/connection_eviction.py
+++ b/quota_gateway/downstream/connection_eviction.py
@@ -7,6 +7,7 @@
 
 from quota_gateway.downstream.client_connection import ClientConnection
 from quota_gateway.errors import InvalidRequestError
+from quota_gateway.model.close_reasons import CloseReason
 from quota_gateway.policy.permissions import may_close_client_connection
 
 UNUSED_TIMEOUT = 0.1  # seconds without a request until a connection is unused; a new client sends at once
@@ -19,17 +20,17 @@
 def evict(connection: ClientConnection, now: float) -> bool:
     """Close a connection to free capacity; return False if a request would be lost."""
     if connection.closing and not connection.unsent_bytes():
-        connection.close_immediately()
+        connection.close_because(CloseReason.EVICTED)
         return True
     if may_close_client_connection(connection, UNUSED_TIMEOUT, now):
-        connection.close_immediately()
+        connection.close_because(CloseReason.EVICTED)
         return True
     if not connection.has_only_partial_request() or now - connection.last_used_at() < UNUSED_TIMEOUT:
         return False
     connection.request_handler.abort_request(
         InvalidRequestError(408, "the request did not come whole, and others wait")
     )
-    connection.close_immediately()
+    connection.close_because(CloseReason.EVICTED)
     return True
 
 
--- a/quota_gateway/downstream/connection_timeouts.py
+++ b/quota_gateway/downstream/connection_timeouts.py
@@ -6,6 +6,7 @@
 from quota_gateway.downstream.client_connection import ClientConnection
 from quota_gateway.downstream.connection_limits import READ_TIMEOUT, is_request_overdue, linger_timeout
 from quota_gateway.errors import InvalidRequestError
+from quota_gateway.model.close_reasons import CloseReason
 from quota_gateway.policy.permissions import may_close_client_connection
 
 
@@ -18,14 +19,15 @@
     if is_sending and (unsent_bytes := connection.unsent_bytes()):
         connection.closing_since = now  # the linger timeout starts once all data has been sent
         if connection.unread_response_timer.has_expired(now, unsent_bytes):
-            connection.close_immediately()
+            connection.close_because(CloseReason.UNREAD_RESPONSE)
     elif connection.closing:
         if now - connection.closing_since > linger_timeout(request_handler):
-            connection.close_immediately()
+            connection.close_because(CloseReason.LINGER)
     elif connection.is_waiting_for_request_data():
         if is_request_overdue(request_handler, connection.last_read_at, now):
+            connection.listener.dispatcher.metrics.connections_closed[CloseReason.SLOW_REQUEST] += 1
             request_handler.abort_request(InvalidRequestError(408, "the request did not come whole in time"))
     elif connection.is_idle():
         timeout = idle_timeout if request_handler.any_request_started else READ_TIMEOUT
         if may_close_client_connection(connection, timeout, now):
-            connection.close_immediately()
+            connection.close_because(CloseReason.IDLE)
--- a/quota_gateway/gateway_process.py
+++ b/quota_gateway/gateway_process.py
@@ -24,6 +24,7 @@
 from quota_gateway.hot_restart.coordinator import HotRestartCoordinator
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import SetDraining, SetMaintenance
+from quota_gateway.process_memory import resident_bytes
 from quota_gateway.shutdown import ACCEPT_WINDOW, GracefulShutdown, shutdown_timeout_for
 from quota_gateway.sockets.addresses import format_address
 from quota_gateway.sockets.listening import bind_with_retry, inherit_listener
@@ -139,7 +140,12 @@
 
     def metrics_text(self) -> str:
         """Return all metrics in the text format for operators."""
-        return self.dispatcher.metrics.format_text(self.dispatcher.gauges())
+        gauges = {
+            **self.dispatcher.gauges(),
+            "client_connections": len(self.listener.connections),
+            "resident_bytes": resident_bytes(),
+        }
+        return self.dispatcher.metrics.format_text(gauges)
 
     def set_maintenance(self, endpoint_id: str, enabled: bool) -> bool:
         """Start or end maintenance of an endpoint, in this process and in the other one of a hot restart.
--- a/quota_gateway/metrics.py
+++ b/quota_gateway/metrics.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from quota_gateway.model.actions import Reason
+from quota_gateway.model.close_reasons import CloseReason
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.policy.permissions import RefusalReason
 
@@ -31,6 +32,7 @@
         self.local_responses = dict.fromkeys(Reason, 0)
         self.attempts_refused = dict.fromkeys(RefusalReason, 0)
         self.attempts_ended = dict.fromkeys(Outcome, 0)
+        self.connections_closed = dict.fromkeys(CloseReason, 0)
         self.reload_success = 0
         self.reload_failure = 0
 
@@ -58,6 +60,7 @@
         lines += format_counters("attempts_refused", self.attempts_refused)
         ended_counts = {outcome.name.lower(): count for outcome, count in self.attempts_ended.items()}
         lines += format_counters("attempts_ended", ended_counts)
+        lines += format_counters("connections_closed", self.connections_closed)
         lines += [f"{name}={value}" for name, value in gauges.items()]
         lines.append(f"reload_success={self.reload_success}")
         lines.append(f"reload_failure={self.reload_failure}")
--- a/quota_gateway/upstream/attempt.py
+++ b/quota_gateway/upstream/attempt.py
@@ -87,6 +87,7 @@
     connect_task: asyncio.Task[None] | None = None
     deadline_timer: asyncio.TimerHandle | None = None  # fires at `deadline`
     is_response_streamed: bool = False  # a long response is being forwarded
+    response_bytes: int = 0  # how much of the response has been received
 
     @property
     def has_ended(self) -> bool:
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -172,6 +172,7 @@
             self.close()  # unsolicited data, before a request or after its response
             return
         response = self._response
+        attempt.response_bytes += len(data)
         response.feed(data)
         if self.attempt is not attempt:
             return  # the attempt ended while a part of the body was forwarded
