--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -105,12 +105,13 @@
     override_discovery: bool = False,
     console: bool = False,
     variables: Mapping[str, str] | None = None,
+    memory_megabytes: int = 192,
 ) -> AsyncIterator[tuple[GatewayHarness, Any]]:
     """Run the gateway as a child process, with one backend, discovery and the counter in this process.
 
     `descriptors` limits its file descriptors (0: no limit), `override_discovery` sets discovery's address in
     the environment too, `console` starts an admin server and a second backend, which discovery does not list,
-    and `variables` are added to the environment.
+    and `variables` are added to the environment. `memory_megabytes` is the memory limit in its settings.
     """
     harness = GatewayHarness(2 if console else 1)
     peers = (*harness.backends, harness.discovery, harness.counter)
@@ -123,6 +124,7 @@
         environment["RELAY_CONSOLE"] = f"{HOST}:{harness.admin_port}"
     path = tmp_path / "config.json"
     content = {**harness.configuration(high_quota_settings(), 1024), "listen": f"{HOST}:{harness.port}"}
+    content["limits"]["memory_mb"] = memory_megabytes
     path.write_text(json.dumps(content))
 
     def limit_descriptors() -> None:
