Slow responses of unknown length are forwarded instead of cut off

Cause: such a response is buffered until 64 KiB of it have come. Until then the timeouts of a short response held: the read timeout (0.5 s, or a fifth of the attempt's time) and the attempt's deadline.

Change: a successful response without a length has no read timeout until the attempt's deadline, and is forwarded from then on. The read timeout has a module of its own; two tests name the new place, their bounds are as before.

Price: a response without a length that stops is no longer retried.

--- a/quota_gateway/upstream/attempt.py
+++ b/quota_gateway/upstream/attempt.py
@@ -56,6 +56,9 @@
 
     is_writing_paused: bool  # the kernel has yet to accept written data
 
+    def forward_begun_response(self, attempt: UpstreamAttempt) -> bool:
+        """Start forwarding the response if it has begun and may be long; return whether it is forwarded."""
+
     def abandon(self, attempt: UpstreamAttempt) -> None:
         """Close the connection if it still carries `attempt`."""
 
@@ -143,7 +146,12 @@
 
     def start_timer(self, now: float, loop: asyncio.AbstractEventLoop) -> None:
         """Start the timer that ends the attempt at its deadline."""
-        self.deadline_timer = loop.call_later(max(self.deadline - now, 0.0), self.time_out)
+        self.deadline_timer = loop.call_later(max(self.deadline - now, 0.0), self._deadline_reached)
+
+    def _deadline_reached(self) -> None:
+        """End the attempt, unless a response has begun that may be too long to have arrived by now."""
+        if self.connection is None or not self.connection.forward_begun_response(self):
+            self.time_out()
 
     def time_out_write(self) -> None:
         """End the attempt, since its endpoint takes nothing, unless a response that it has begun goes on."""
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -12,17 +12,10 @@
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
 from quota_gateway.upstream.endpoint_connections import EndpointConnections
 from quota_gateway.upstream.idle_timeout import AdaptiveIdleTimeout
+from quota_gateway.upstream.read_timeout import ReadTimeout
 from quota_gateway.upstream.response_parser import ResponseParser
 from quota_gateway.upstream.write_timeout import WriteTimeout
 
-# Longest time in seconds between parts of a buffered response. Endpoints have the complete response when they
-# begin to send it.
-RESPONSE_READ_TIMEOUT = 0.5
-# Upper limit of the read timeout, as a fraction of the attempt's time: enough must be left for a retry.
-READ_TIMEOUT_FRACTION = 0.2
-# Longest time in seconds between parts of a streamed response, which can't be retried.
-STREAM_READ_TIMEOUT = 10.0
-
 
 class ConnectionOwner(Protocol):
     """What a connection needs from its pool."""
@@ -61,7 +54,7 @@
         self.transport: asyncio.Transport | None = None
         self._descriptor = -1
         self._response = ResponseParser(self._open_stream)
-        self.read_timer: asyncio.TimerHandle | None = None  # timer of the read timeout
+        self.read_timeout = ReadTimeout(pool.loop, pool.clock, self._read_timed_out)
         self.is_reading_paused = False  # whether reading of a streamed response is paused
         self.is_writing_paused = False  # whether the kernel has yet to accept written data
         self._write_timeout = WriteTimeout(pool.loop)  # runs while writing is paused
@@ -142,12 +135,21 @@
             self._response.sink = None
             self.close()
 
+    def forward_begun_response(self, attempt: UpstreamAttempt) -> bool:
+        """Start forwarding the response if it has begun and may be long; return whether it is forwarded."""
+        response = self._response
+        if self.attempt is not attempt or not (response.is_length_unknown and response.start_streaming()):
+            return False
+        if not self.is_reading_paused:
+            self.read_timeout.update(attempt, response)
+        return True
+
     def pause(self) -> None:
         """Pause reading a streamed response, and its read timeout."""
         if self._response.sink is not None and not self.is_reading_paused and self.transport is not None:
             self.is_reading_paused = True
             self.transport.pause_reading()
-            self._cancel_read_timer()
+            self.read_timeout.stop()
 
     def resume(self) -> None:
         """Resume reading a streamed response."""
@@ -155,7 +157,7 @@
             self.is_reading_paused = False
             self.transport.resume_reading()
             if self.attempt is not None:
-                self._restart_read_timer(self.attempt)
+                self.read_timeout.restart(self.attempt, self._response)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the read buffer, which all connections share."""
@@ -182,29 +184,18 @@
             # The endpoint may have executed the request even if its response is invalid.
             attempt.end(AttemptResult(Outcome.BROKEN_RESPONSE))
         elif response.is_in_progress and not self.is_reading_paused:
-            self._restart_read_timer(attempt)
+            self.read_timeout.restart(attempt, self._response)
 
     def _open_stream(self, head: ResponseHead) -> StreamSink | None:
         return self.attempt.open_stream(head) if self.attempt is not None else None
 
-    def _restart_read_timer(self, attempt: UpstreamAttempt) -> None:
-        timeout = read_timeout(attempt, self._response.sink is not None)
-        self._cancel_read_timer()
-        self.read_timer = self.pool.loop.call_later(timeout, self._read_timed_out, attempt)
-
-    def _cancel_read_timer(self) -> None:
-        if self.read_timer is not None:
-            self.read_timer.cancel()
-            self.read_timer = None
-
     def _read_timed_out(self, attempt: UpstreamAttempt) -> None:
-        self.read_timer = None
         if self.attempt is attempt:
             attempt.end(AttemptResult(Outcome.BROKEN_RESPONSE))
 
     def _finish(self, attempt: UpstreamAttempt) -> None:
         """End the attempt with its complete response; first release the connection for the next attempt."""
-        self._cancel_read_timer()
+        self.read_timeout.stop()
         allows_reuse = self._response.allows_reuse() and attempt.written_at is not None
         result = self._response.take_result()
         if self.is_reading_paused and self.transport is not None:
@@ -238,7 +229,7 @@
         self.attempt = None
         self.transport = None
         self._response.release()
-        self._cancel_read_timer()
+        self.read_timeout.stop()
         self._write_timeout.stop()
         if attempt is None:
             return
@@ -260,11 +251,3 @@
         framing = body_stream.framing_header
         time_budget = body_stream.time_budget
     return b"%b%bX-Budget: %.3f\r\n\r\n%b" % (attempt.head, framing, time_budget, attempt.body)
-
-
-def read_timeout(attempt: UpstreamAttempt, is_streamed: bool) -> float:
-    """Return the seconds to wait for the next part of a response that has begun."""
-    if is_streamed:
-        return STREAM_READ_TIMEOUT
-    attempt_time = attempt.deadline - attempt.waiting_since
-    return max(min(RESPONSE_READ_TIMEOUT, READ_TIMEOUT_FRACTION * attempt_time), 0.0)
--- a/quota_gateway/upstream/response_parser.py
+++ b/quota_gateway/upstream/response_parser.py
@@ -99,6 +99,19 @@
         max_body_bytes = MAX_BUFFERED_BYTES if self.sink is None else MAX_BODY_BYTES
         return self._is_malformed or self.bytes_received > max_bytes or self._body_size > max_body_bytes
 
+    @property
+    def is_length_unknown(self) -> bool:
+        """Whether the body of a successful response has begun and may turn out to be too long to buffer."""
+        is_short_so_far = self._is_in_body and self._body_size <= MAX_BUFFERED_BYTES
+        has_no_length = self._headers.content_length is None
+        return is_short_so_far and has_no_length and not self.is_complete and self._may_be_streamed()
+
+    def start_streaming(self) -> bool:
+        """Forward the response from now on, whatever its length; return False if it can't be forwarded."""
+        if self.sink is None:
+            self._start_streaming()
+        return self.sink is not None
+
     def complete_at_eof(self) -> bool:
         """Handle the end of the stream and return whether it completes the response.
 
--- a/tests/test_body_streaming.py
+++ b/tests/test_body_streaming.py
@@ -123,7 +123,7 @@
         client.send(request(1))
         await wait_for(lambda: any(c.write_paused for c in harness.process.listener.connections))
         (upstream,) = harness.process.pool.connections
-        assert upstream.is_reading_paused and upstream.read_timer is None
+        assert upstream.is_reading_paused and not upstream.read_timeout.is_running
         (connection,) = harness.process.listener.connections
         assert connection.transport is not None
         unread_bytes = connection.transport.get_write_buffer_size()
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -11,6 +11,7 @@
 from quota_gateway.body_streaming import LAST_CHUNK, MAX_BUFFERED_BYTES, RequestBodyStream
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.upstream import connection
+from quota_gateway.upstream import read_timeout as read_timeouts
 from quota_gateway.upstream.attempt import AttemptResult
 from quota_gateway.upstream.endpoint_connections import MIN_IDLE_BEFORE_REUSE
 from quota_gateway.upstream.response_parser import MAX_HEAD_BYTES
@@ -207,13 +208,13 @@
 @pytest.mark.parametrize(
     ("response", "read_timeout"),
     [(response, 1000.0) for response in INVALID_RESPONSES]
-    + [(response, connection.RESPONSE_READ_TIMEOUT) for response in STALLED_RESPONSES],
+    + [(response, read_timeouts.RESPONSE_READ_TIMEOUT) for response in STALLED_RESPONSES],
 )
 async def test_invalid_response_ends_attempt_before_deadline(
     response: bytes, read_timeout: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # The attempt waited until its deadline for each of these responses, and then the request failed.
-    monkeypatch.setattr(connection, "RESPONSE_READ_TIMEOUT", read_timeout)
+    monkeypatch.setattr(read_timeouts, "RESPONSE_READ_TIMEOUT", read_timeout)
     async with running_pool(respond_with(response)) as (sender, endpoint):
         assert await sender.outcome(1000.0) is Outcome.BROKEN_RESPONSE
         await endpoint.wait_until(lambda: endpoint.closed_count == 1)
