An upload's time starts when its end may have been written, not when it is read

Cause: while input of a streamed body waits unread, BodyEndBound bounds when its end may have been written, and the request is answered by that. But once the end was read, the client's time began anew at its arrival, which is late by as long as the bytes lay in the client's send buffer.

Change: RequestHandler.finish_body_stream takes the bound for bodies whose end waited. Nothing changes where none did.

A client that was still writing may lose some of its time, as before while its body was incomplete.

--- a/quota_gateway/downstream/body_end_bound.py
+++ b/quota_gateway/downstream/body_end_bound.py
@@ -45,6 +45,18 @@
         """The earliest time, in seconds, at which the last byte may have been written."""
         return self._records[0].since if self._records else self._checked_at
 
+    def end_of_body(self, size: int, arrived_at: float) -> float:
+        """Return the earliest time at which the last of `size` bytes, all read now, may have been written.
+
+        `arrived_at` is when the last of them reached this machine. They may have waited in the client's send
+        buffer before, while earlier ones were unread. All times are seconds.
+        """
+        if not self._records:
+            return arrived_at
+        size_before = size - CLIENT_SEND_BUFFER_BYTES
+        reached = (record.since for record in self._records if record.byte_count >= size_before)
+        return min(next(reached, self._checked_at), arrived_at)
+
     def record_all_read(self, now: float) -> None:
         """Record that all bytes of the client have been read, and the last one is not among them."""
         self._records.clear()
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -141,13 +141,15 @@
 
     def finish_body_stream(self, connection: RequestConnection, writer: ResponseWriter) -> None:
         """Report the end of a streamed body to the dispatcher."""
+        bound = self.body_end_bound
+        ended_at = self.arrived_at if bound is None else bound.end_of_body(self.body_size, self.arrived_at)
         self.body_stream = None
         self.streaming_writer = None
         self.body_end_bound = None
         if writer.unsent is None:  # no early response, after which the connection closes
             writer.keep_alive = not connection.input_ended and self.should_keep_alive()
             connection.input_ended = connection.input_ended or not writer.keep_alive
-        self.router.dispatcher.request_body_received(writer.request_id, self.arrived_at)
+        self.router.dispatcher.request_body_received(writer.request_id, ended_at)
 
     def reject(
         self, connection: RequestConnection, writer: ResponseWriter, error: InvalidRequestError
--- a/tests/test_unfinished_uploads.py
+++ b/tests/test_unfinished_uploads.py
@@ -183,6 +183,23 @@
         assert (await harness.metrics())["attempts_ended.write_timed_out"] == 1
 
 
+async def take_all_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    stop_reading(reader)
+    await asyncio.sleep(0.85 * BUDGET)
+    start_reading(reader)
+    while await reader.read(LONG_BODY_SIZE):
+        pass
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+async def test_upload_that_is_taken_late_is_answered_in_time(chunked: bool) -> None:
+    # guards against a budget that starts when the waiting end of a body is read, not when it was written
+    async with gateway_with_backend(take_all_late) as (_, uploader):
+        await uploader.upload(encode_upload(BODY_SIZE, chunked))
+        assert uploader.status != 200
+        assert uploader.seconds_after_last_byte() <= BUDGET + RESPONSE_SLACK
+
+
 @pytest.mark.virtual_clock
 @pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
 async def test_slow_upload_of_a_client_goes_on(chunked: bool) -> None:
@@ -335,6 +352,16 @@
     assert bound.earliest == 105.0
 
 
+def test_end_of_body_that_waited_unread_is_when_it_may_have_been_written() -> None:
+    bound = BodyEndBound(None, 100.0)
+    assert bound.end_of_body(MEBIBYTE, 100.2) == 100.2  # nothing waited
+    bound.record_arrival(MEBIBYTE, CLIENT_SEND_BUFFER_BYTES, 101.0)
+    bound.record_arrival(3 * MEBIBYTE, CLIENT_SEND_BUFFER_BYTES, 102.0)
+    assert bound.end_of_body(6 * MEBIBYTE, 102.5) == 101.0
+    assert bound.end_of_body(5 * MEBIBYTE, 100.5) == 100.0
+    assert bound.end_of_body(9 * MEBIBYTE, 102.5) == 102.0  # less than 5 MiB had arrived by then
+
+
 def test_end_of_chunked_body_moves_on_with_what_arrives() -> None:
     bound = BodyEndBound(None, 100.0)
     for second in range(1, 6):
