Requests cost memory by their bytes, not by their fields and chunks

Cause: RequestReader kept every header field, some 200 bytes for one of five, and each piece of a body as an object.

Change: only the headers that the gateway uses are kept; bodies are bytearrays, and a streamed body merges small pieces.

--- a/quota_gateway/body_streaming.py
+++ b/quota_gateway/body_streaming.py
@@ -15,6 +15,9 @@
 # Size in bytes of the read buffer that all client connections share, and of the one for endpoint connections
 READ_BUFFER_BYTES = 64 * 1024
 
+# Data is buffered in pieces of at least this many bytes, if as much is waiting: each piece has a cost.
+MIN_PIECE_BYTES = 4 * 1024
+
 LAST_CHUNK = b"0\r\n\r\n"  # final chunk of a body with chunked transfer coding
 
 
@@ -44,7 +47,7 @@
         """
         self.length = length
         self.time_budget = budget
-        self.chunks: deque[bytes] = deque()
+        self.chunks: deque[bytearray] = deque()
         self.buffered_bytes = 0
         self.is_complete = False  # the client has sent the last byte of the body
         self.has_been_read = False  # the upstream side has taken some of the body
@@ -73,7 +76,10 @@
 
     def feed(self, data: bytes) -> None:
         """Append data that was received from the client."""
-        self.chunks.append(data)
+        if self.chunks and len(self.chunks[-1]) < MIN_PIECE_BYTES:
+            self.chunks[-1] += data
+        else:
+            self.chunks.append(bytearray(data))
         self.buffered_bytes += len(data)
         self.on_data()
 
@@ -90,7 +96,7 @@
             self.has_been_read = True
             self.on_first_read()
         was_full = self.is_full()
-        data = self.chunks.popleft()
+        data = bytes(self.chunks.popleft())
         self.buffered_bytes -= len(data)
         if was_full and not self.is_full():
             self.on_space_available()
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -108,9 +108,9 @@
         self.body_stream = request.body_stream
         if self.body_stream is not None:
             self.body_stream.on_space_available = self.handle_body_capacity
-            for data in self.body:
-                self.body_stream.feed(data)
-        self.body = []
+            if self.body:
+                self.body_stream.feed(bytes(self.body))
+        self.body = bytearray()
         writer.request_id = self.router.dispatcher.submit(request, writer)
 
     def handle_body_capacity(self) -> None:
--- a/quota_gateway/downstream/request_reader.py
+++ b/quota_gateway/downstream/request_reader.py
@@ -28,6 +28,9 @@
 # Headers that determine where a message ends and whether its connection persists.
 FRAMING_HEADERS = (b"connection", b"proxy-connection", b"content-length", b"transfer-encoding")
 
+# All headers that the gateway uses; no others are kept.
+KEPT_HEADERS = UNIQUE_HEADERS.union(FRAMING_HEADERS, (b"content-type", b"expect", b"upgrade"))
+
 BODY_TOO_LARGE = "the body is over 32 MiB"
 HEAD_TOO_LARGE = "the head is over 32 KiB"
 
@@ -61,7 +64,7 @@
         """Clear the fields of the previous request."""
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_size = 0  # bytes read so far, including those of a streamed body
         self.error: InvalidRequestError | None = None  # sent as the response once the request is complete
 
@@ -190,6 +193,8 @@
         if not self.in_head:
             return
         name = name.lower()
+        if name not in KEPT_HEADERS:
+            return
         value = value.strip()
         if name in self.headers:
             if name in UNIQUE_HEADERS:
@@ -215,7 +220,7 @@
         elif self.body_stream is not None:
             self.body_stream.feed(body)
         elif self.error is None:
-            self.body.append(body)
+            self.body += body
             if self.body_size > MAX_BUFFERED_BYTES:
                 self.start_body_stream(None)
 
--- a/quota_gateway/downstream/request_router.py
+++ b/quota_gateway/downstream/request_router.py
@@ -36,7 +36,7 @@
             writer.send(429, b"")
         else:
             self.check_api_request(reader, path)
-            request = self.parser.parse(reader, b"".join(reader.body))
+            request = self.parser.parse(reader, bytes(reader.body))
             self.check_call_id(request)
             writer.request_id = self.dispatcher.submit(request, writer)
 
