Buffers of all connections share a budget, set by the memory limit in the configuration

Cause: limits.memory_mb was read nowhere. Every limit on buffers held for one connection, none for all of them together.

Change: MemoryBudget counts what connections on both sides buffer. Buffers of transports and of streamed bodies are smaller where memory is. Pieces of 1 KiB are parsed at a time outside bodies, so that a read brings few requests beyond the limits. svc.buffered_bytes and svc.memory_shortages show it. Two questions about partly read requests moved to a module of their own.

--- a/quota_gateway/body_streaming.py
+++ b/quota_gateway/body_streaming.py
@@ -46,6 +46,7 @@
         timeout in seconds, counted from the last byte of the body.
         """
         self.length = length
+        self.capacity = MAX_BUFFERED_BYTES  # bytes at which the buffer is full
         self.time_budget = budget
         self.chunks: deque[bytearray] = deque()
         self.buffered_bytes = 0
@@ -72,7 +73,7 @@
 
     def is_full(self) -> bool:
         """Return whether the client's connection should not be read for now."""
-        return self.buffered_bytes >= MAX_BUFFERED_BYTES
+        return self.buffered_bytes >= self.capacity
 
     def feed(self, data: bytes) -> None:
         """Append data that was received from the client."""
--- a/quota_gateway/configuration/file.py
+++ b/quota_gateway/configuration/file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -24,6 +25,8 @@
 LISTEN_DESCRIPTOR_VARIABLE = "RELAY_SOCKET_FD"
 SHARED_FOLDER_VARIABLE = "TMPDIR"
 
+BYTES_PER_MEGABYTE = 1_000_000
+DEFAULT_MEMORY_MEGABYTES = 192.0  # the most that the platform gives a gateway
 # Minimum number of file descriptors; fewer would leave none for clients and endpoints
 MIN_DESCRIPTORS = 32
 SEED_BASE = 16  # the seed in the file is a hexadecimal string
@@ -43,6 +46,7 @@
     shared_folder: str | None  # folder shared by the processes of a hot restart
     seed: int
     max_descriptors: int
+    memory_limit: int  # bytes, at which the platform kills the process
     cached_endpoints: EndpointUpdate  # cached endpoint list, used until discovery answers
     settings: Settings
     connection_limits: ConnectionLimits
@@ -88,6 +92,7 @@
         shared_folder=environment.get(SHARED_FOLDER_VARIABLE) or None,
         seed=int(content["seed"], SEED_BASE),
         max_descriptors=_descriptor_limit(content),
+        memory_limit=_memory_limit(content),
         cached_endpoints=parse_endpoint_update(content["known"], EndpointListKind.CACHED),
         settings=settings,
         connection_limits=read_connection_limits(content["settings"]),
@@ -101,3 +106,11 @@
     if max_descriptors < MIN_DESCRIPTORS:
         raise ValueError(f"limits: sockets is below {MIN_DESCRIPTORS}")
     return max_descriptors
+
+
+def _memory_limit(content: dict[str, Any]) -> int:
+    """Return the memory limit in the file, in bytes."""
+    megabytes = float(content["limits"].get("memory_mb", DEFAULT_MEMORY_MEGABYTES))
+    if not 0 < megabytes < math.inf:
+        raise ValueError("limits: memory_mb is not above 0")
+    return int(megabytes * BYTES_PER_MEGABYTE)
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -8,6 +8,7 @@
 from quota_gateway.downstream.flow_control import FlowControlledConnection, Listener
 from quota_gateway.downstream.half_close import DispatchingListener, HalfClose
 from quota_gateway.downstream.request_handler import RequestHandler
+from quota_gateway.downstream.request_reader import held_bytes
 from quota_gateway.downstream.request_router import RequestRouter
 from quota_gateway.downstream.response_queue import FlushResult, ResponseQueue
 from quota_gateway.downstream.response_writer import ResponseWriter
@@ -16,7 +17,8 @@
 from quota_gateway.sockets.kernel_state import has_peer_closed
 
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on one connection at which reading pauses
-MAX_PARSE_BYTES = 8192  # bytes parsed at a time; bounds the requests accepted beyond MAX_PIPELINED_REQUESTS
+MAX_PARSE_BYTES = 1024  # bytes parsed at a time; bounds the requests accepted beyond MAX_PIPELINED_REQUESTS
+MAX_BODY_PARSE_BYTES = 8192  # the same inside a body
 
 
 class RequestListener(Listener, DispatchingListener, Protocol):
@@ -41,6 +43,7 @@
         self.responses = ResponseQueue()
         self.idle_since = self.last_read_at  # seconds: time at which the latest response was written
         self.half_close = HalfClose(listener, self.responses)
+        self.body_stream_capacity = listener.buffers.stream_capacity
 
     @property
     def in_request(self) -> bool:
@@ -61,16 +64,17 @@
         self.request_handler.arrived_at = self.arrival_time(data)
         self.unread = self.unread + data if self.unread else data
         self.process_unread()
+        self.update_memory()
 
     def process_unread(self) -> None:
         """Parse received bytes as far as the limits allow, then pause or resume reading."""
         request_handler = self.request_handler
         while self.unread and not (self.input_ended or self.is_full() or request_handler.error_pause_timer):
-            data = self.unread
-            if len(data) > MAX_PARSE_BYTES:
-                data = data[:MAX_PARSE_BYTES]
-            self.unread = self.unread[len(data) :]
+            size = MAX_BODY_PARSE_BYTES if request_handler.is_in_body() else MAX_PARSE_BYTES
+            data = self.unread[:size]
+            self.unread = self.unread[size:]
             request_handler.parse(data)
+            self.memory.update(self.count_held_bytes())
         self.update_reading()
 
     def is_full(self) -> bool:
@@ -78,11 +82,25 @@
         body_stream = self.request_handler.body_stream
         if body_stream is not None and body_stream.is_full():
             return True
+        if self.responses and not self.memory.may_grow:
+            return True
         return self.write_paused or len(self.responses) >= MAX_PIPELINED_REQUESTS
 
+    def count_held_bytes(self) -> int:
+        """Return the bytes that this connection buffers."""
+        held = len(self.unread) + self.unsent_bytes()
+        return held + held_bytes(self.request_handler) + self.responses.held_bytes()
+
+    def update_memory(self) -> None:
+        """Count the bytes that this connection buffers, and go on reading if that was paused for memory."""
+        self.memory.update(self.count_held_bytes())
+        if self.read_paused and not self.request_handler.parsing:
+            self.process_unread()
+
     def update_reading(self) -> None:
         """Pause reading while a limit is reached, which bounds the memory that a client can use."""
         pause = self.is_full() or bool(self.unread) or self.request_handler.error_pause_timer is not None
+        pause = pause or self.is_short_of_memory()
         if self.transport is None or pause == self.read_paused or self.input_ended:
             return
         if pause:
@@ -165,21 +183,19 @@
         self.listener.connections.discard(self)
         self.listener.disconnect_monitor.unwatch(self.descriptor, self.handle_disconnect)
         self.request_handler.close()
+        self.memory.update(0)
         self.transport = None
         self.input_ended = True
         self.half_close.cancel()
         for request_id in self.responses.pop_incomplete():
             self.listener.dispatcher.client_disconnected(request_id)
 
-    def is_waiting_for_request_data(self) -> bool:
-        """Return True if a request is incomplete only because its client is slow."""
-        if not self.in_request or self.unread or self.read_paused:
-            return False
-        return self.responses.is_first(self.request_handler.streaming_writer)
+    def is_short_of_memory(self) -> bool:
+        """Return True while further input is left unread for want of memory.
 
-    def has_only_partial_request(self) -> bool:
-        """Return True if a request is partly read and no other one is in flight."""
-        return self.in_request and not (self.responses or self.closing or self.unread)
+        A body that is streamed goes on, as its buffer is small and empties by itself.
+        """
+        return self.request_handler.body_stream is None and not self.memory.may_grow
 
     def last_used_at(self) -> float:
         """Return when the connection last carried bytes of a request or response, in seconds."""
--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -7,15 +7,16 @@
 import socket
 from collections.abc import Callable
 
-from quota_gateway.body_streaming import READ_BUFFER_BYTES
 from quota_gateway.dispatch.dispatcher import RequestDispatcher
 from quota_gateway.downstream.arrival_bound import ArrivalBound, EventLoopMonitor
+from quota_gateway.downstream.client_buffers import ClientBuffers
 from quota_gateway.downstream.client_connection import ClientConnection
 from quota_gateway.downstream.connection_eviction import MAX_EVICTIONS, close_if_unused, evict_unused
 from quota_gateway.downstream.connection_limits import BUSY_FRACTION, BUSY_IDLE_TIMEOUT, IDLE_TIMEOUT
 from quota_gateway.downstream.connection_timeouts import enforce_timeouts
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
 from quota_gateway.downstream.request_router import RequestRouter
+from quota_gateway.memory_budget import MemoryBudget
 from quota_gateway.model.settings import Settings
 from quota_gateway.policy.permissions import may_close_client_connection
 from quota_gateway.sockets.dialing import RETRY_DELAY, SYSTEM_SHORTAGE_ERRNOS
@@ -43,13 +44,14 @@
         clock: Callable[[], float],
         max_connections: int,
         is_serving: Callable[[], bool],
+        memory: MemoryBudget,
     ) -> None:
         """Initialize without a socket; `is_serving` returns True while the gateway accepts requests."""
         self.dispatcher = dispatcher
         self.clock = clock
         self.max_connections = max_connections
         self.limit_reduction = 0  # reduction of the connection limit while descriptors are short
-        self.read_buffer = bytearray(READ_BUFFER_BYTES)
+        self.buffers = ClientBuffers(memory, max_connections)
         self.is_serving = is_serving
         self.router = RequestRouter(dispatcher, settings, self.is_ready)
         self.connections: set[ClientConnection] = set()
@@ -166,10 +168,9 @@
         now = self.clock()
         self.limit_reduction = max(self.limit_reduction - 1, 0)
         is_busy = len(self.connections) >= BUSY_FRACTION * (self.max_connections - self.limit_reduction)
-        idle_timeout = BUSY_IDLE_TIMEOUT if is_busy else IDLE_TIMEOUT
         closes_unused = self.draining and now - self.draining_since >= DRAIN_DELAY
         for connection in list(self.connections):
-            enforce_timeouts(connection, now, idle_timeout)
+            enforce_timeouts(connection, now, BUSY_IDLE_TIMEOUT if is_busy else IDLE_TIMEOUT)
             if closes_unused:
                 close_if_unused(connection, now)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL, self.sweep)
--- a/quota_gateway/downstream/connection_eviction.py
+++ b/quota_gateway/downstream/connection_eviction.py
@@ -6,6 +6,7 @@
 from operator import attrgetter
 
 from quota_gateway.downstream.client_connection import ClientConnection
+from quota_gateway.downstream.partial_requests import has_only_partial_request
 from quota_gateway.errors import InvalidRequestError
 from quota_gateway.model.close_reasons import CloseReason
 from quota_gateway.policy.permissions import may_close_client_connection
@@ -25,7 +26,7 @@
     if may_close_client_connection(connection, UNUSED_TIMEOUT, now):
         connection.close_because(CloseReason.EVICTED)
         return True
-    if not connection.has_only_partial_request() or now - connection.last_used_at() < UNUSED_TIMEOUT:
+    if not has_only_partial_request(connection) or now - connection.last_used_at() < UNUSED_TIMEOUT:
         return False
     connection.request_handler.abort_request(
         InvalidRequestError(408, "the request did not come whole, and others wait")
--- a/quota_gateway/downstream/connection_limits.py
+++ b/quota_gateway/downstream/connection_limits.py
@@ -48,13 +48,18 @@
         return now - self.last_progress_at > UNREAD_RESPONSE_TIMEOUT
 
 
+def is_request_late(request: RequestReader, now: float) -> bool:
+    """Return True if a complete request head would have had to arrive by now."""
+    return now - request.request_started_at > READ_TIMEOUT
+
+
 def is_body_stalled(request: RequestReader, last_read_at: float, now: float) -> bool:
     """Return True if the body has stalled, or is too slow ever to end."""
     stalled_for = now - last_read_at
     if request.body_size >= MAX_BUFFERED_BYTES:
         return stalled_for > LARGE_BODY_STALL_TIMEOUT
     elapsed = now - request.body_started_at
-    is_late = now - request.request_started_at > READ_TIMEOUT
+    is_late = is_request_late(request, now)
     rate_applies = elapsed > READ_TIMEOUT or stalled_for > SLOW_BODY_STALL_TIMEOUT
     is_slow = is_late and rate_applies and request.body_size < MIN_BODY_RATE * elapsed
     return is_slow or stalled_for > BODY_STALL_TIMEOUT
@@ -63,7 +68,7 @@
 def is_request_overdue(request: RequestReader, last_read_at: float, now: float) -> bool:
     """Return True if a partly read request takes too long."""
     if request.in_head:
-        return now - request.request_started_at > READ_TIMEOUT
+        return is_request_late(request, now)
     return is_body_stalled(request, last_read_at, now)
 
 
--- a/quota_gateway/downstream/flow_control.py
+++ b/quota_gateway/downstream/flow_control.py
@@ -10,8 +10,10 @@
 
 from quota_gateway.body_streaming import READ_BUFFER_BYTES
 from quota_gateway.downstream.arrival_bound import ArrivalBound, EventLoopMonitor
+from quota_gateway.downstream.client_buffers import ClientBuffers
 from quota_gateway.downstream.connection_limits import UnreadResponseTimer
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
+from quota_gateway.memory_budget import BufferAccount
 from quota_gateway.sockets.kernel_state import has_unread_input, seconds_since_last_data
 
 # Input that has waited unread for at most this many seconds counts as having arrived when it is read. The
@@ -25,7 +27,7 @@
     """What all connections of a listener share."""
 
     clock: Callable[[], float]  # the time in seconds
-    read_buffer: bytearray  # data is copied out of it before the next read
+    buffers: ClientBuffers
     disconnect_monitor: DisconnectMonitor
     loop_monitor: EventLoopMonitor
 
@@ -40,6 +42,8 @@
         self.socket: socket.socket | None = None
         self.descriptor = -1
         self.unread = b""  # bytes that have been received but not processed
+        self.memory = BufferAccount(listener.buffers.memory)
+        self.read_size = READ_BUFFER_BYTES  # the most bytes that the current read may return
         # seconds: time at which data was last received, or reading was resumed
         self.last_read_at = listener.clock()
         self.arrival_bound = ArrivalBound(listener.loop_monitor, waiting_since, self.last_read_at)
@@ -57,15 +61,17 @@
         sock = self.transport.get_extra_info("socket")
         self.socket = sock
         self.descriptor = sock.fileno()
+        self.transport.set_write_buffer_limits(high=self.listener.buffers.write_limit)
         self.arrival_bound.watch(self.listener.clock())
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return the buffer to read into (asyncio)."""
-        return self.listener.read_buffer
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into, a part of it while memory is short (asyncio)."""
+        self.read_size = self.listener.buffers.memory.read_size(READ_BUFFER_BYTES)
+        return memoryview(self.listener.buffers.read_buffer)[: self.read_size]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Copy the data out of the buffer, which all connections share (asyncio)."""
-        self.data_received(bytes(memoryview(self.listener.read_buffer)[:nbytes]))
+        self.data_received(bytes(memoryview(self.listener.buffers.read_buffer)[:nbytes]))
 
     def arrival_time(self, data: bytes) -> float:
         """Return the arrival time of a request that ends in `data`, which has just been read.
@@ -77,7 +83,7 @@
         now = self.last_read_at
         earliest = self.arrival_bound.earliest()
         self.last_arrival_bound = earliest
-        if len(data) >= READ_BUFFER_BYTES:
+        if len(data) >= self.read_size:
             self.arrival_bound.mark_unread(now)
         if now - earliest <= ARRIVAL_TOLERANCE:
             return now
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -18,6 +18,9 @@
 # Seconds without reading after an invalid request, which costs as much work as a valid one.
 INVALID_REQUEST_PAUSE = 0.1
 
+# Memory in bytes of a request in progress, without its head and body.
+REQUEST_OVERHEAD_BYTES = 3 * 1024
+
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -27,6 +30,7 @@
     responses: ResponseQueue
     input_ended: bool  # no further request is accepted
     half_close: HalfClose
+    body_stream_capacity: int  # bytes of a streamed body at which reading pauses
 
     def process_unread(self) -> None:
         """Parse received bytes as far as the limits allow."""
@@ -107,6 +111,7 @@
         connection.responses.append(writer)
         self.body_stream = request.body_stream
         if self.body_stream is not None:
+            self.body_stream.capacity = connection.body_stream_capacity
             self.body_stream.on_space_available = self.handle_body_capacity
             if self.body:
                 self.body_stream.feed(bytes(self.body))
@@ -130,6 +135,7 @@
             return
         keep_alive = self.should_keep_alive()
         writer = ResponseWriter(connection, keep_alive, self.http_version)
+        writer.request_bytes = REQUEST_OVERHEAD_BYTES + self.kept_bytes + len(self.body)
         connection.responses.append(writer)
         connection.input_ended = not keep_alive
         try:
@@ -138,6 +144,7 @@
             self.router.route(self, writer, connection.half_close.is_started)
         except InvalidRequestError as error:
             self.reject(connection, writer, error)
+        self.body = bytearray()  # it has been copied
 
     def finish_body_stream(self, connection: RequestConnection, writer: ResponseWriter) -> None:
         """Report the end of a streamed body to the dispatcher."""
--- a/quota_gateway/downstream/request_reader.py
+++ b/quota_gateway/downstream/request_reader.py
@@ -63,6 +63,7 @@
     def reset_request(self) -> None:
         """Clear the fields of the previous request."""
         self.target = b""
+        self.kept_bytes = 0  # of the head
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.body_size = 0  # bytes read so far, including those of a streamed body
@@ -141,11 +142,13 @@
         self.is_resuming = True
         return b"\r\n".join([start_line, *lines, b"", b""])
 
+    def is_in_body(self) -> bool:
+        """Return True between the head and the end of a request."""
+        return self.in_request and not self.in_head
+
     def is_in_large_body(self) -> bool:
         """Return True inside a body that is too large to be read only to reach the next request."""
-        if self.in_head or not self.in_request:
-            return False
-        return self.body_size > MAX_BUFFERED_BYTES or self.content_length() > MAX_BUFFERED_BYTES
+        return self.is_in_body() and max(self.body_size, self.content_length()) > MAX_BUFFERED_BYTES
 
     def close(self) -> None:
         """Release the parser, since its reference cycle with this object would outlive the connection."""
@@ -187,6 +190,7 @@
         """Handle a part of the request target (httptools)."""
         if not self.is_resuming:
             self.target += url
+            self.kept_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header; trailers are ignored (httptools)."""
@@ -202,6 +206,7 @@
             elif name in FRAMING_HEADERS:
                 value = b"%b, %b" % (self.headers[name], value)
         self.headers[name] = value
+        self.kept_bytes += len(value)
 
     def on_headers_complete(self) -> None:
         """Handle the end of the headers (httptools)."""
@@ -230,3 +235,13 @@
             return
         self.in_request = False
         self.request_complete()
+
+
+def held_bytes(reader: RequestReader) -> int:
+    """Return how many bytes of the request that is being read are buffered."""
+    if not reader.in_request:
+        return 0
+    if reader.in_head:
+        return reader.head_size
+    streamed_bytes = reader.body_stream.buffered_bytes if reader.body_stream is not None else 0
+    return reader.kept_bytes + len(reader.body) + streamed_bytes
--- a/quota_gateway/downstream/response_queue.py
+++ b/quota_gateway/downstream/response_queue.py
@@ -43,6 +43,10 @@
                 return FlushResult.CLOSE
         return FlushResult.WAITING
 
+    def held_bytes(self) -> int:
+        """Return the bytes of requests that are in progress, and of responses that are not written yet."""
+        return sum(writer.request_bytes + len(writer.unsent or b"") for writer in self)
+
     def pause_source(self) -> None:
         """Pause the upstream of the first response while the client doesn't read."""
         if self and self[0].source is not None:
--- a/quota_gateway/downstream/response_writer.py
+++ b/quota_gateway/downstream/response_writer.py
@@ -51,6 +51,7 @@
         "http_version",
         "is_sending",
         "keep_alive",
+        "request_bytes",
         "request_id",
         "source",
         "streaming",
@@ -63,6 +64,7 @@
         self.http_version = http_version
         self.keep_alive = keep_alive
         self.request_id = 0  # the dispatcher's id; 0 for a request that was not submitted
+        self.request_bytes = 0  # bytes of the request that are kept until it is answered
         self.unsent: bytes | None = None  # bytes to write; None until the response starts
         self.source: StreamSource | None = None  # the upstream end of a streamed response
         self.streaming = False  # True while a streamed response is incomplete
--- a/quota_gateway/gateway_process.py
+++ b/quota_gateway/gateway_process.py
@@ -22,6 +22,7 @@
 from quota_gateway.downstream.client_listener import ClientListener
 from quota_gateway.engine.policy_engine import PolicyEngine
 from quota_gateway.hot_restart.coordinator import HotRestartCoordinator
+from quota_gateway.memory_budget import MemoryBudget, buffer_limit
 from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import SetDraining, SetMaintenance
 from quota_gateway.process_memory import resident_bytes
@@ -65,15 +66,16 @@
         # a local discovery agent that is slower than a connect is overloaded, and clients are waiting
         self.first_list_timeout = min(MAX_FIRST_LIST_TIMEOUT, limits.connect_timeout)
         self.shutdown_timeout = shutdown_timeout_for(settings)
+        self.memory = MemoryBudget(buffer_limit(configuration.memory_limit, descriptors.downstream))
         self.pool = ConnectionPool(
-            clock, limits.connect_timeout, limits.keepalive_timeout, descriptors.upstream
+            clock, limits.connect_timeout, limits.keepalive_timeout, descriptors.upstream, self.memory
         )
         engine = PolicyEngine(settings, configuration.seed, clock())
         self.dispatcher = RequestDispatcher(engine, clock, self.pool)
         self.dispatcher.counter = self._create_counter(configuration, clock)
         self.dispatcher.apply_endpoint_update(configuration.cached_endpoints)
         self.listener = ClientListener(
-            self.dispatcher, settings, clock, descriptors.downstream, self.is_serving
+            self.dispatcher, settings, clock, descriptors.downstream, self.is_serving, self.memory
         )
         self.dispatcher.set_client_draining = self.listener.drain
         self.discovery = self._create_discovery(configuration)
@@ -144,6 +146,8 @@
             **self.dispatcher.gauges(),
             "client_connections": len(self.listener.connections),
             "resident_bytes": resident_bytes(),
+            "buffered_bytes": self.memory.used,
+            "memory_shortages": self.memory.exhausted_count,
         }
         return self.dispatcher.metrics.format_text(gauges)
 
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from quota_gateway.body_streaming import RequestBodyStream, ResponseHead, StreamSink
+from quota_gateway.body_streaming import READ_BUFFER_BYTES, RequestBodyStream, ResponseHead, StreamSink
+from quota_gateway.memory_budget import BufferAccount, MemoryBudget
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.sockets.kernel_state import has_unread_input
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
@@ -23,6 +24,7 @@
     clock: Callable[[], float]
     loop: asyncio.AbstractEventLoop
     read_buffer: bytearray
+    memory: MemoryBudget
     idle_timeout: AdaptiveIdleTimeout
     attempts_written: int
 
@@ -59,6 +61,7 @@
         self.is_writing_paused = False  # whether the kernel has yet to accept written data
         self._write_timeout = WriteTimeout(pool.loop)  # runs while writing is paused
         self._is_writing_body = False  # guards against reentrant sending
+        self._account = BufferAccount(pool.memory)  # for the response
 
     def is_open(self) -> bool:
         """Return whether the connection is established and not closing."""
@@ -99,7 +102,7 @@
         body_stream = attempt.body_stream
         if body_stream is not None:
             self._is_writing_body = True  # taking a chunk may call this method again
-            self._write_chunks(self.transport, body_stream)
+            write_chunks(self, self.transport, body_stream)
             self._is_writing_body = False
         if self.is_writing_paused:
             return
@@ -107,14 +110,6 @@
             attempt.written_at = self.pool.clock()
             self.pool.attempts_written += 1
 
-    def _write_chunks(self, transport: asyncio.Transport, body_stream: RequestBodyStream) -> None:
-        while not self.is_writing_paused and (chunk := body_stream.next_chunk()):
-            transport.write(chunk)
-        if self.is_writing_paused or body_stream.chunks or not body_stream.is_complete:
-            return
-        if end := body_stream.take_last_chunk():
-            transport.write(end)
-
     def pause_writing(self) -> None:
         """Stop sending: the kernel's send buffer is full."""
         self.is_writing_paused = True
@@ -159,9 +154,9 @@
             if self.attempt is not None:
                 self.read_timeout.restart(self.attempt, self._response)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return the read buffer, which all connections share."""
-        return self.pool.read_buffer
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the read buffer, which all connections share; a part of it while memory is short."""
+        return memoryview(self.pool.read_buffer)[: self.pool.memory.read_size(READ_BUFFER_BYTES)]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes that were read into the shared buffer."""
@@ -176,6 +171,7 @@
         response = self._response
         attempt.response_bytes += len(data)
         response.feed(data)
+        self._update_account()
         if self.attempt is not attempt:
             return  # the attempt ended while a part of the body was forwarded
         if response.is_complete:
@@ -186,6 +182,12 @@
         elif response.is_in_progress and not self.is_reading_paused:
             self.read_timeout.restart(attempt, self._response)
 
+    def _update_account(self) -> None:
+        """Count what is buffered of the response; while memory is short, forward it before it is complete."""
+        self._account.update(self._response.buffered_bytes)
+        if not self._account.may_grow and not self._response.is_complete and self._response.start_streaming():
+            self._account.update(0)
+
     def _open_stream(self, head: ResponseHead) -> StreamSink | None:
         return self.attempt.open_stream(head) if self.attempt is not None else None
 
@@ -198,6 +200,7 @@
         self.read_timeout.stop()
         allows_reuse = self._response.allows_reuse() and attempt.written_at is not None
         result = self._response.take_result()
+        self._account.update(0)
         if self.is_reading_paused and self.transport is not None:
             self.is_reading_paused = False
             self.transport.resume_reading()
@@ -229,6 +232,7 @@
         self.attempt = None
         self.transport = None
         self._response.release()
+        self._account.update(0)
         self.read_timeout.stop()
         self._write_timeout.stop()
         if attempt is None:
@@ -241,6 +245,18 @@
         attempt.end(AttemptResult(outcome))
 
 
+def write_chunks(
+    connection: UpstreamConnection, transport: asyncio.Transport, body_stream: RequestBodyStream
+) -> None:
+    """Write what is available of a streamed body, until the kernel's send buffer is full."""
+    while not connection.is_writing_paused and (chunk := body_stream.next_chunk()):
+        transport.write(chunk)
+    if connection.is_writing_paused or body_stream.chunks or not body_stream.is_complete:
+        return
+    if end := body_stream.take_last_chunk():
+        transport.write(end)
+
+
 def encode_request(attempt: UpstreamAttempt, now: float) -> bytes:
     """Return the request's head with the time budget left at `now`, and its body unless it is streamed."""
     body_stream = attempt.body_stream
--- a/quota_gateway/upstream/connection_pool.py
+++ b/quota_gateway/upstream/connection_pool.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Callable, Iterable
 
 from quota_gateway.body_streaming import READ_BUFFER_BYTES
 from quota_gateway.invariants import HALF_CLOSE_SLACK, TIME_BUDGET_SLACK, Invariant, InvariantMonitor
+from quota_gateway.memory_budget import MemoryBudget
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.sockets.addresses import Address
 from quota_gateway.sockets.dialing import connect_with_retry, ignore_descriptor_exhaustion
@@ -28,12 +30,14 @@
         connect_timeout: float,
         keepalive_timeout: float,
         max_connections: int,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Initialize an empty pool.
 
         `keepalive_timeout` is that of the endpoints; timeouts are in seconds. `max_connections` includes
-        connects in progress.
+        connects in progress. `memory` bounds what all responses buffer; without it they are not bounded.
         """
+        self.memory = memory or MemoryBudget(sys.maxsize)
         self.clock = clock
         self.connect_timeout = connect_timeout
         self.max_connections = max_connections
--- a/quota_gateway/upstream/read_timeout.py
+++ b/quota_gateway/upstream/read_timeout.py
@@ -66,11 +66,11 @@
 
     def _timeout(self, attempt: UpstreamAttempt, response: ResponseParser) -> float | None:
         """Return the seconds from the latest part to the next one, None for until the attempt's deadline."""
-        if not response.is_length_unknown:
-            return STREAM_READ_TIMEOUT if response.sink is not None else buffered_read_timeout(attempt)
         if response.sink is not None:
-            return undecided_read_timeout(attempt, self._read_at)
-        return None if attempt.sink_factory is not None else buffered_read_timeout(attempt)
+            is_undecided = response.may_be_short
+            return undecided_read_timeout(attempt, self._read_at) if is_undecided else STREAM_READ_TIMEOUT
+        waits_for_deadline = response.is_length_unknown and attempt.sink_factory is not None
+        return None if waits_for_deadline else buffered_read_timeout(attempt)
 
 
 def buffered_read_timeout(attempt: UpstreamAttempt) -> float:
--- a/quota_gateway/upstream/response_parser.py
+++ b/quota_gateway/upstream/response_parser.py
@@ -106,10 +106,25 @@
         has_no_length = self._headers.content_length is None
         return is_short_so_far and has_no_length and not self.is_complete and self._may_be_streamed()
 
+    @property
+    def may_be_short(self) -> bool:
+        """Whether the body may end within the buffer limit."""
+        length = self._headers.content_length
+        return self._body_size <= MAX_BUFFERED_BYTES and (length is None or length <= MAX_BUFFERED_BYTES)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of the body that are buffered, about."""
+        return self._body_size if self._body_chunks else 0
+
     def start_streaming(self) -> bool:
         """Forward the response from now on, whatever its length; return False if it can't be forwarded."""
-        if self.sink is None:
-            self._start_streaming()
+        if self.sink is None and self._open_stream is not None and self._may_be_streamed():
+            headers = self._headers
+            head = ResponseHead(headers.content_length, headers.forwarded_headers, headers.billed_units)
+            self.sink = self._open_stream(head)
+        while self.sink is not None and self._body_chunks:
+            self.sink.write_body(self._body_chunks.pop(0))
         return self.sink is not None
 
     def complete_at_eof(self) -> bool:
@@ -177,7 +192,7 @@
         self._status = status
         content_length = self._headers.content_length
         if content_length is not None and content_length > MAX_BUFFERED_BYTES:
-            self._start_streaming()
+            self._is_malformed = not self.start_streaming()
 
     def on_body(self, data: bytes) -> None:
         """Buffer or forward a part of the body."""
@@ -191,26 +206,12 @@
             self._body_chunks.append(data)
         elif self._may_be_streamed():
             self._body_chunks.append(data)
-            self._start_streaming()
+            self._is_malformed = not self.start_streaming()
 
     def _may_be_streamed(self) -> bool:
         """Return False for an error, whose body is not forwarded, and for a malformed response."""
         return self._status == 200 and not self._is_malformed
 
-    def _start_streaming(self) -> None:
-        """Open a sink and forward the buffered data; without a sink, the response is malformed."""
-        if self._open_stream is not None and self._may_be_streamed():
-            headers = self._headers
-            head = ResponseHead(headers.content_length, headers.forwarded_headers, headers.billed_units)
-            self.sink = self._open_stream(head)
-        if self.sink is None:
-            self._is_malformed = True
-            return
-        body_chunks = self._body_chunks
-        self._body_chunks = []
-        for chunk in body_chunks:
-            self.sink.write_body(chunk)
-
     def on_message_complete(self) -> None:
         """End a message, which completes the response unless it is an interim one."""
         if self.is_complete or self._parser is None:
