A connection's requests are handled in turns, so that one client can't hold up the rest

Cause: all input that one read event brings is parsed at once, and the event loop repeats the read up to 32 times while it fills the buffer of 64 KiB: up to 2 MB of small requests before any other connection is looked at. Responses that are ready at once never count against MAX_PIPELINED_REQUESTS.

Change: after eight requests, or a read that filled the buffer, the rest waits for a later iteration of the event loop (InputTurn). A bulk upload pays one more pause for each 64 KiB.

--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -7,6 +7,7 @@
 
 from quota_gateway.downstream.flow_control import FlowControlledConnection, Listener
 from quota_gateway.downstream.half_close import DispatchingListener, HalfClose
+from quota_gateway.downstream.input_turn import MAX_REQUESTS_PER_TURN, InputTurn
 from quota_gateway.downstream.request_handler import RequestHandler
 from quota_gateway.downstream.request_reader import held_bytes
 from quota_gateway.downstream.request_router import RequestRouter
@@ -43,6 +44,7 @@
         self.responses = ResponseQueue()
         self.idle_since = self.last_read_at  # seconds: time at which the latest response was written
         self.half_close = HalfClose(listener, self.responses)
+        self.turn = InputTurn(listener.loop, self.process_unread)
         self.body_stream_capacity = listener.buffers.stream_capacity
 
     @property
@@ -64,17 +66,25 @@
         self.request_handler.arrived_at = self.arrival_time(data)
         self.unread = self.unread + data if self.unread else data
         self.process_unread()
+        if len(data) >= self.read_size:  # the event loop would read on at once
+            self.turn.end()
+            self.update_reading()
         self.update_memory()
 
     def process_unread(self) -> None:
         """Parse received bytes as far as the limits allow, then pause or resume reading."""
         request_handler = self.request_handler
+        last_request = request_handler.request_count + MAX_REQUESTS_PER_TURN
         while self.unread and not (self.input_ended or self.is_full() or request_handler.error_pause_timer):
+            if request_handler.request_count >= last_request:
+                self.turn.end()
+            if self.turn.is_over:
+                break
             size = MAX_BODY_PARSE_BYTES if request_handler.is_in_body() else MAX_PARSE_BYTES
             data = self.unread[:size]
             self.unread = self.unread[size:]
             request_handler.parse(data)
-            self.memory.update(self.count_held_bytes())
+            self.memory.update(count_held_bytes(self))
         self.update_reading()
 
     def is_full(self) -> bool:
@@ -86,21 +96,16 @@
             return True
         return self.write_paused or len(self.responses) >= MAX_PIPELINED_REQUESTS
 
-    def count_held_bytes(self) -> int:
-        """Return the bytes that this connection buffers."""
-        held = len(self.unread) + self.unsent_bytes()
-        return held + held_bytes(self.request_handler) + self.responses.held_bytes()
-
     def update_memory(self) -> None:
         """Count the bytes that this connection buffers, and go on reading if that was paused for memory."""
-        self.memory.update(self.count_held_bytes())
+        self.memory.update(count_held_bytes(self))
         if self.read_paused and not self.request_handler.parsing:
             self.process_unread()
 
     def update_reading(self) -> None:
         """Pause reading while a limit is reached, which bounds the memory that a client can use."""
         pause = self.is_full() or bool(self.unread) or self.request_handler.error_pause_timer is not None
-        pause = pause or self.is_short_of_memory()
+        pause = pause or self.is_short_of_memory() or self.turn.is_over
         if self.transport is None or pause == self.read_paused or self.input_ended:
             return
         if pause:
@@ -225,3 +230,9 @@
     def is_idle(self) -> bool:
         """Return True if the connection is open and no request is in flight or partly read."""
         return not (self.responses or self.closing or self.unread or self.in_request)
+
+
+def count_held_bytes(connection: ClientConnection) -> int:
+    """Return the bytes that a connection buffers."""
+    held = len(connection.unread) + connection.unsent_bytes()
+    return held + held_bytes(connection.request_handler) + connection.responses.held_bytes()
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -47,6 +47,7 @@
         self.streaming_writer: ResponseWriter | None = None  # response to a request whose body is streamed
         self.body_end_bound: BodyEndBound | None = None  # of the body that is streamed
         self.invalid_requests = 0
+        self.request_count = 0  # requests that have been read to their end
         self.error_pause_timer: asyncio.TimerHandle | None = None  # reading is paused while it is set
 
     def close(self) -> None:
@@ -126,6 +127,7 @@
     def request_complete(self) -> None:
         """Submit or reject a complete request; if its body was streamed, report only the end of the body."""
         connection = self.connection
+        self.request_count += 1
         if connection is None:
             return
         if self.streaming_writer is not None:
