--- a/quota_gateway/downstream/input_turn.py
+++ b/quota_gateway/downstream/input_turn.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-MAX_REQUESTS_PER_TURN = 8  # requests of one connection handled before others get their turn
+MAX_REQUESTS_PER_TURN = 16  # requests of one connection handled before others get their turn
 
 
 class InputTurn:
