An id that may have run is not executed again when it comes again

Cause: call ids were known for as long as their request was in progress. The attempt of a client that has left goes on at its backend; once it ends, nothing remembers the id.

A repeat gets 409, as while it is open.

--- a/quota_gateway/dispatch/action_executor.py
+++ b/quota_gateway/dispatch/action_executor.py
@@ -111,6 +111,7 @@
                 self._request_log.refused(active_request, attempt, refusal)
             attempt.end(refused_result(refusal))
             return
+        self._registry.record_attempt(active_request)
         if self._request_log.enabled:
             self._request_log.started(active_request, attempt, now)
         self._pool.start_attempt(attempt)
--- a/quota_gateway/dispatch/active_request.py
+++ b/quota_gateway/dispatch/active_request.py
@@ -56,6 +56,7 @@
         "client_deadline",
         "deadline",
         "in_flight_count",
+        "may_have_run",
         "observer",
         "request",
         "request_id",
@@ -83,6 +84,7 @@
         self.attempts: list[UpstreamAttempt] = []
         self.in_flight_count = 0  # number of attempts that have not ended
         self.answered = False
+        self.may_have_run = False  # an attempt has ended that an endpoint may have executed
         self.streaming_attempt: UpstreamAttempt | None = None  # the attempt whose response is streamed
         # When attempts may no longer start, in seconds. Set when the client half-closes its connection.
         self.attempt_start_deadline: float | None = None
@@ -101,6 +103,11 @@
         margin = min(WATCHDOG_MARGIN, MAX_MARGIN_FRACTION * request.client_timeout / 2)
         return request.received_at + request.client_timeout - margin
 
+    @property
+    def forbids_repeats(self) -> bool:
+        """Whether the request must not be executed twice."""
+        return self.request.forbids_repeats
+
     def received_event(self) -> RequestReceived:
         """Return the event that reports the request to the policy engine."""
         request = self.request
@@ -156,6 +163,7 @@
 
     def attempt_ended(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Report the end of an attempt to the observer; called once by the attempt itself."""
+        self.may_have_run = self.may_have_run or not result.outcome.proves_not_executed
         self.observer.attempt_ended(self, attempt, result)
 
     def open_response_stream(self, attempt: UpstreamAttempt, head: ResponseHead) -> StreamSink | None:
--- a/quota_gateway/dispatch/client_request.py
+++ b/quota_gateway/dispatch/client_request.py
@@ -25,6 +25,7 @@
     head: bytes  # request line and header lines for the endpoint, without X-Budget and the blank line
     body: bytes
     body_stream: RequestBodyStream | None = None  # replaces a `body` that is too long to buffer
+    forbids_repeats: bool = False  # the request must not be executed twice
     read_at: float = 0.0  # when the last byte was read, which may be some time after it arrived
 
 
--- a/quota_gateway/dispatch/dispatcher.py
+++ b/quota_gateway/dispatch/dispatcher.py
@@ -150,8 +150,8 @@
             self._registry.remove_if_complete(active_request)
 
     def is_call_active(self, call_id: bytes) -> bool:
-        """Return whether a request with this call id is active."""
-        return call_id in self._registry.active_call_ids
+        """Return whether a request with this call id is active, or may have run and must not run again."""
+        return self._registry.is_known_call(call_id)
 
     def client_disconnected(self, request_id: int) -> None:
         """End a request whose client's connection is lost."""
--- a/quota_gateway/dispatch/request_registry.py
+++ b/quota_gateway/dispatch/request_registry.py
@@ -8,6 +8,7 @@
 from quota_gateway.dispatch.active_request import ActiveRequest
 from quota_gateway.invariants import RESPONSE_SLACK, Invariant, InvariantMonitor
 from quota_gateway.metrics import Metrics
+from quota_gateway.policy.repeated_calls import RepeatedCalls
 
 
 class RequestRegistry:
@@ -16,6 +17,7 @@
     def __init__(self, clock: Callable[[], float], metrics: Metrics, invariants: InvariantMonitor) -> None:
         """Initialize an empty registry that counts finished requests in `metrics`."""
         self.active_requests: dict[int, ActiveRequest] = {}
+        self.repeated_calls = RepeatedCalls()
         self.active_call_ids: set[bytes] = set()  # the call ids of these requests, as set by the clients
         self.unanswered_request_count = 0
         self._clock = clock
@@ -29,6 +31,17 @@
         self.active_call_ids.add(active_request.request.call_id)
         self.unanswered_request_count += 1
 
+    def record_attempt(self, active_request: ActiveRequest) -> bool:
+        """Remember the id of a request that must not run twice; return whether this is its first attempt."""
+        is_first = active_request.forbids_repeats and len(active_request.attempts) == 1
+        if is_first:
+            self.repeated_calls.add(active_request.request.call_id, self._clock())
+        return is_first
+
+    def is_known_call(self, call_id: bytes) -> bool:
+        """Return whether a request with this id is in progress, or may have run and must not be repeated."""
+        return call_id in self.active_call_ids or self.repeated_calls.is_repeat(call_id, self._clock())
+
     def find(self, request_id: int) -> ActiveRequest | None:
         """Return the request with this id, or None if it is not in progress."""
         return self.active_requests.get(request_id)
@@ -76,6 +89,8 @@
             return
         if self.active_requests.pop(active_request.request_id, None) is not None:
             self.active_call_ids.discard(active_request.request.call_id)
+            if not active_request.may_have_run:
+                self.repeated_calls.discard(active_request.request.call_id)
 
     async def wait_until_answered(self, timeout: float) -> bool:
         """Wait until every request is answered; return False after `timeout` seconds."""
--- a/quota_gateway/downstream/request_parser.py
+++ b/quota_gateway/downstream/request_parser.py
@@ -121,7 +121,6 @@
         ]
         if method != b"GET":
             head_lines += self.body_lines(headers, None if streamed else len(body))
-        head_lines.append(b"")
         return ClientRequest(
             call_id=call_id,
             received_at=reader.arrived_at,
@@ -133,9 +132,10 @@
             quota_spread=quota.spread,
             first_gateway_index=quota.first_gateway_index,
             is_retry=headers.get(b"x-again") == b"1",
-            head=b"\r\n".join(head_lines),
+            head=b"\r\n".join((*head_lines, b"")),
             body=body,
             body_stream=RequestBodyStream(length, budget) if streamed else None,
+            forbids_repeats=request_class.idempotency is not Idempotency.IDEMPOTENT,
             read_at=reader.received_at,
         )
 
--- a/quota_gateway/downstream/request_router.py
+++ b/quota_gateway/downstream/request_router.py
@@ -61,6 +61,6 @@
             raise InvalidRequestError(405, "only GET and POST", b"Allow: GET, POST\r\n")
 
     def check_call_id(self, request: ClientRequest) -> None:
-        """Raise InvalidRequestError if the call id is in use: the end of either request would end both."""
+        """Raise InvalidRequestError if the call id is in use, or must not be used again."""
         if self.dispatcher.is_call_active(request.call_id):
-            raise InvalidRequestError(409, "a request with this X-Call-Id is open")
+            raise InvalidRequestError(409, "a request with this X-Call-Id is open or has been sent on")
