The processes of a hot restart tell each other which calls they have sent on

Cause: call ids were known to the process that had read them only.

Change: a message {"calls": [ids]} on the link, once with the state and then with each first attempt; older versions ignore messages that they do not know. A test calls the renamed GatewayProcess.notify_peer, which had stood three times.

What one process forgets as not executed, the other keeps: a repeat of it gets 409 there. Two processes can't know of a repeat that is a message's way apart.

--- a/quota_gateway/dispatch/action_executor.py
+++ b/quota_gateway/dispatch/action_executor.py
@@ -25,7 +25,7 @@
     SetTimer,
     StartAttempt,
 )
-from quota_gateway.model.charges import UnitsCharged
+from quota_gateway.model.charges import CallsSent, UnitsCharged
 from quota_gateway.model.events import CounterReply, Event
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.model.timers import Timer
@@ -41,6 +41,7 @@
     counter: CounterClient | None
     set_client_draining: Callable[[bool], None] | None
     report_charged_units: Callable[[UnitsCharged], None] | None
+    report_sent_calls: Callable[[CallsSent], None] | None
 
     def post(self, event: Event) -> None:
         """Report an event to the policy engine."""
@@ -111,7 +112,9 @@
                 self._request_log.refused(active_request, attempt, refusal)
             attempt.end(refused_result(refusal))
             return
-        self._registry.record_attempt(active_request)
+        report_sent_calls = self._context.report_sent_calls
+        if self._registry.record_attempt(active_request) and report_sent_calls is not None:
+            report_sent_calls(CallsSent((active_request.request.call_id.decode(),)))
         if self._request_log.enabled:
             self._request_log.started(active_request, attempt, now)
         self._pool.start_attempt(attempt)
--- a/quota_gateway/dispatch/dispatcher.py
+++ b/quota_gateway/dispatch/dispatcher.py
@@ -25,7 +25,7 @@
 from quota_gateway.dispatch.request_registry import RequestRegistry
 from quota_gateway.engine.policy_engine import PolicyEngine
 from quota_gateway.metrics import Metrics
-from quota_gateway.model.charges import UnitsCharged
+from quota_gateway.model.charges import CallsSent, UnitsCharged
 from quota_gateway.model.events import (
     ClientDisconnected,
     ClientHalfClosed,
@@ -61,21 +61,19 @@
         self.pool = pool
         self.counter: CounterClient | None = None
         self.set_client_draining: Callable[[bool], None] | None = None  # starts or stops draining connections
-        # sends charges to the peer process
+        # send charges, and calls sent on, to the peer process
         self.report_charged_units: Callable[[UnitsCharged], None] | None = None
+        self.report_sent_calls: Callable[[CallsSent], None] | None = None
         self.metrics = Metrics(request_class.name for request_class in engine.settings.request_classes)
         self.submitted_request_count = 0
         self._loop = asyncio.get_running_loop()
         self.invariants = pool.invariants
         self._request_log = RequestLog()
         self._registry = RequestRegistry(clock, self.metrics, self.invariants)
+        self.repeated_calls = self._registry.repeated_calls
+        max_units = engine.settings.max_request_units
         self._attempt_handler = AttemptHandler(
-            self._registry,
-            self.post,
-            clock,
-            engine.settings.max_request_units,
-            self.metrics,
-            self._request_log,
+            self._registry, self.post, clock, max_units, self.metrics, self._request_log
         )
         self._executor = ActionExecutor(
             self, self._registry, pool, clock, self._loop, self.metrics, self._request_log
--- a/quota_gateway/gateway_process.py
+++ b/quota_gateway/gateway_process.py
@@ -22,8 +22,8 @@
 from quota_gateway.downstream.client_listener import ClientListener
 from quota_gateway.engine.policy_engine import PolicyEngine
 from quota_gateway.hot_restart.coordinator import HotRestartCoordinator
+from quota_gateway.hot_restart.messages import Notification
 from quota_gateway.memory_budget import MemoryBudget, buffer_limit, max_limiters
-from quota_gateway.model.charges import UnitsCharged
 from quota_gateway.model.events import SetDraining, SetMaintenance
 from quota_gateway.process_memory import resident_bytes
 from quota_gateway.shutdown import ACCEPT_WINDOW, GracefulShutdown, shutdown_timeout_for
@@ -125,7 +125,8 @@
         """Return None if hot restart is unavailable: it needs an inherited socket and a shared folder."""
         if configuration.listen_descriptor is None or configuration.shared_folder is None:
             return None
-        self.dispatcher.report_charged_units = self.broadcast_charged_units
+        self.dispatcher.report_charged_units = self.notify_peer
+        self.dispatcher.report_sent_calls = self.notify_peer
         return HotRestartCoordinator(
             configuration.shared_folder,
             self.dispatcher,
@@ -158,20 +159,19 @@
         Return False if the endpoint is unknown.
         """
         known = self.dispatcher.set_maintenance(endpoint_id, enabled)
-        if known and self.hot_restart is not None:
-            self.hot_restart.notify_peer(SetMaintenance(endpoint_id, enabled))
+        if known:
+            self.notify_peer(SetMaintenance(endpoint_id, enabled))
         return known
 
     def set_draining(self, enabled: bool) -> None:
         """Start or stop draining clients, in this process and in the other one of a hot restart."""
         self.dispatcher.set_draining(enabled)
-        if self.hot_restart is not None:
-            self.hot_restart.notify_peer(SetDraining(enabled))
+        self.notify_peer(SetDraining(enabled))
 
-    def broadcast_charged_units(self, charged: UnitsCharged) -> None:
-        """Report units charged by this process to the other process of a hot restart."""
+    def notify_peer(self, notification: Notification) -> None:
+        """Send a notification to the other process of a hot restart, if there is one."""
         if self.hot_restart is not None:
-            self.hot_restart.notify_peer(charged)
+            self.hot_restart.notify_peer(notification)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully; SIGHUP reloads the configuration."""
--- a/quota_gateway/hot_restart/coordinator.py
+++ b/quota_gateway/hot_restart/coordinator.py
@@ -26,8 +26,9 @@
 )
 from quota_gateway.hot_restart.process_link import ProcessLink
 from quota_gateway.hot_restart.shared_folder import SOCKET_NAME, SharedFolder
-from quota_gateway.model.charges import UnitsCharged
+from quota_gateway.model.charges import CallsSent, UnitsCharged
 from quota_gateway.model.events import PeerProcessChanged, SetDraining, SetMaintenance, StateSnapshot
+from quota_gateway.policy.repeated_calls import RepeatedCalls
 from quota_gateway.sockets.acceptor import Acceptor
 from quota_gateway.transient_errors import is_transient
 
@@ -157,8 +158,8 @@
         self._acceptor.start(listener)
 
     def notify_peer(self, notification: Notification) -> None:
-        """Send an operator's command, or units charged here, to the other process if there is one."""
-        if not isinstance(notification, UnitsCharged):
+        """Send an operator's command, units charged here or calls sent on, to the other process if any."""
+        if not isinstance(notification, UnitsCharged | CallsSent):
             self._defer_command(notification)
         for link in self.links:
             link.send(notification)
@@ -202,14 +203,15 @@
         match message:
             case Hello():
                 link.send(self._state_transfer())
+                link.send(calls_sent(self.dispatcher.repeated_calls))
             case StateTransfer():
                 self._restore(message)
             case Serving():
                 self.successor = link
                 self.on_superseded(True)
-            case UnitsCharged():
-                self.dispatcher.post(message)
-            case SetDraining() | SetMaintenance():
+            case CallsSent():
+                record_calls(self.dispatcher.repeated_calls, message, self.dispatcher.clock())
+            case UnitsCharged() | SetDraining() | SetMaintenance():
                 self.dispatcher.post(message)  # the endpoint may not be in this process's list yet
 
     def _create_link(self) -> ProcessLink:
@@ -240,6 +242,17 @@
         self._restore_finished.set()
 
 
+def calls_sent(repeated_calls: RepeatedCalls) -> CallsSent:
+    """Return the message with all calls that the other process must not execute."""
+    return CallsSent(tuple(call_id.decode() for call_id in repeated_calls.ids()))
+
+
+def record_calls(repeated_calls: RepeatedCalls, message: CallsSent, now: float) -> None:
+    """Remember the calls that the other process has sent on."""
+    for call_id in message.call_ids:
+        repeated_calls.add(call_id.encode(), now)
+
+
 def _unix_socket() -> socket.socket:
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     sock.setblocking(False)
--- a/quota_gateway/hot_restart/messages.py
+++ b/quota_gateway/hot_restart/messages.py
@@ -14,7 +14,7 @@
 
 from quota_gateway.discovery.endpoint_update import EndpointEntry, EndpointUpdate
 from quota_gateway.errors import HotRestartError
-from quota_gateway.model.charges import UnitsCharged
+from quota_gateway.model.charges import CallsSent, UnitsCharged
 from quota_gateway.model.endpoints import Endpoint, EndpointListKind, EndpointStatus
 from quota_gateway.model.events import SetDraining, SetMaintenance
 
@@ -33,6 +33,7 @@
     UNITS_CHARGED = "charged"
     DRAINING = "drain"
     MAINTENANCE = "maintain"
+    CALLS_SENT = "calls"
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +68,7 @@
 
 
 OperatorCommand = SetDraining | SetMaintenance
-Notification = OperatorCommand | UnitsCharged
+Notification = OperatorCommand | UnitsCharged | CallsSent
 Message = Hello | StateTransfer | Serving | Notification
 
 
@@ -136,6 +137,8 @@
             return {Key.DRAINING: message.enabled}
         case SetMaintenance():
             return {Key.MAINTENANCE: [message.endpoint_id, message.enabled]}
+        case CallsSent():
+            return {Key.CALLS_SENT: message.call_ids}
 
 
 def _from_object(members: dict[str, Any]) -> Message | None:
@@ -152,5 +155,7 @@
             return SetDraining(enabled)
         case {Key.MAINTENANCE: values}:
             return SetMaintenance(*values)
+        case {Key.CALLS_SENT: call_ids}:
+            return CallsSent(tuple(call_ids))
         case _:
             return None
--- a/quota_gateway/model/charges.py
+++ b/quota_gateway/model/charges.py
@@ -1,4 +1,4 @@
-"""Quota charges that the two processes of a hot restart report to each other."""
+"""What the two processes of a hot restart report to each other: quota charges, and calls sent on."""
 
 from __future__ import annotations
 
@@ -17,3 +17,10 @@
     plan: str
     quota_spread: int  # number of gateways that share the customer's requests
     units: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallsSent:
+    """Ids of calls for which one process has started attempts, and which must not be executed twice."""
+
+    call_ids: tuple[str, ...]
--- a/tests/test_recorded_messages.py
+++ b/tests/test_recorded_messages.py
@@ -180,7 +180,7 @@
     async with running_gateway(2) as harness:
         coordinator, _, transport = open_link(harness, tmp_path)
         harness.process.hot_restart = coordinator
-        harness.process.broadcast_charged_units(UnitsCharged("0000000000000006", "basis", 2, 1.0))
+        harness.process.notify_peer(UnitsCharged("0000000000000006", "basis", 2, 1.0))
         harness.process.set_draining(True)
         assert transport.lines() == [CHARGED, '{"drain": true}']
         coordinator.close()
--- a/tests/test_repeated_calls.py
+++ b/tests/test_repeated_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import pathlib
 import socket
 from collections.abc import Callable
 
@@ -11,6 +12,7 @@
 
 from tests.fakes import HOST, HttpMessage, ResponseStep, http_response, send_success
 from tests.harness import Client, GatewayHarness, request, running_gateway
+from tests.test_hot_restart import process_group
 
 SERVICE_TIME = 0.15  # seconds
 BUDGET = 2.4  # seconds that a client waits
@@ -92,6 +94,31 @@
     assert set(executions.counts.values()) == {1}
 
 
+@pytest.mark.parametrize("sent_before_start", [True, False], ids=["before", "during"])
+async def test_call_that_comes_again_at_the_other_process_runs_once(
+    sent_before_start: bool, tmp_path: pathlib.Path
+) -> None:
+    executions = Executions()
+    async with process_group(tmp_path) as processes:
+        for backend in processes.harness.backends:
+            backend.script = [executions.serve()] * 4 * CALLS
+        await processes.start()
+        if sent_before_start:
+            await send_and_leave(processes.harness, Client.reset)
+            await processes.start()
+        else:
+            clients = [await processes.harness.connect_client() for _ in range(CALLS)]
+            await asyncio.sleep(0.1)
+            await processes.start()
+            for number, client in enumerate(clients, 1):
+                client.send(call(number))
+                await asyncio.sleep(0.02)
+                client.reset()
+        assert set(await statuses_of_repeats(processes.harness)) == {409}
+        await asyncio.sleep(2 * SERVICE_TIME)
+    assert set(executions.counts.values()) == {1} and len(executions.counts) == CALLS
+
+
 async def test_requests_are_not_retried_after_a_close_behind_unread_input() -> None:
     arrivals: dict[str, list[float]] = collections.defaultdict(list)
     loop = asyncio.get_running_loop()
