No attempt starts while a client's close may lie behind input left unread

Cause: the end of a stream follows its data. While reading is paused and the receive buffer is full (128 KB here), the close stays on the client's machine, so that neither epoll nor a poll of the socket tells of it.

--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -180,8 +180,10 @@
             self.half_close.start(self.listener.loop_monitor.previous_iteration_at)
 
     def client_disconnected(self) -> bool:
-        """Return True if the client has closed its side; on a busy core the kernel knows before the loop."""
-        return self.transport is None or self.half_close.is_started or has_peer_closed(self.descriptor)
+        """Return True if the client has closed its side, or may have; the kernel knows before the loop."""
+        if self.transport is None or self.half_close.is_started:
+            return True
+        return has_peer_closed(self.descriptor) or self.may_have_hidden_close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the connection and cancel its requests (asyncio)."""
--- a/quota_gateway/downstream/flow_control.py
+++ b/quota_gateway/downstream/flow_control.py
@@ -14,7 +14,7 @@
 from quota_gateway.downstream.connection_limits import UnreadResponseTimer
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
 from quota_gateway.memory_budget import BufferAccount
-from quota_gateway.sockets.kernel_state import has_unread_input, seconds_since_last_data
+from quota_gateway.sockets.kernel_state import has_unread_input, may_hide_close, seconds_since_last_data
 
 # Input that has waited unread for at most this many seconds counts as having arrived when it is read. The
 # protocol allows an attempt up to 0.1 after its client's close, and lets the time budget that an endpoint
@@ -100,6 +100,11 @@
         # a close from before the latest read arrived with those bytes, and is reported after them
         return earliest if earliest >= self.last_read_at else min(earliest, self.last_arrival_bound)
 
+    def may_have_hidden_close(self) -> bool:
+        """Return True if a close may lie behind input that has been left unread for a while."""
+        is_old = self.listener.clock() - self.last_read_at > ARRIVAL_TOLERANCE
+        return self.read_paused and is_old and may_hide_close(self.descriptor)
+
     @abstractmethod
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
--- a/quota_gateway/sockets/kernel_state.py
+++ b/quota_gateway/sockets/kernel_state.py
@@ -15,6 +15,8 @@
 LAST_DATA_RECEIVED_OFFSET = 52
 QUEUE_SIZE_FORMAT = struct.Struct("=i")  # the number of bytes in a queue of a socket (man 7 tcp)
 MILLISECONDS_PER_SECOND = 1000.0
+# Bytes that a receive buffer surely holds: one with fewer unread bytes has room for the peer's close.
+RECEIVE_WINDOW_BYTES = 32 * 1024
 
 
 def has_peer_closed(descriptor: int) -> bool:
@@ -27,6 +29,14 @@
     return _has_event(descriptor, select.POLLIN)
 
 
+def may_hide_close(descriptor: int) -> bool:
+    """Return True if so much input is unread that the peer may have closed without this kernel's knowing.
+
+    The peer's close follows its data, which it keeps while the receive buffer of this machine is full.
+    """
+    return (unread_bytes(descriptor) or 0) >= RECEIVE_WINDOW_BYTES
+
+
 def seconds_since_last_data(connection: socket.socket) -> float | None:
     """Return how many seconds ago the peer's latest bytes arrived, read or not; None if unknown.
 
