Soak: early SIGKILL, signals in series, clients that never rest, crowds with little memory

Change: by its seed a run has a longest deadline of 0.6 to 2.5 s with SIGKILL 0.7 s after that, SIGTERM and SIGHUP in series (even seeds), clients that send on open connections without a pause (three in four), and a crowd of 130 clients a gateway that never send a whole request, at 48 MB and 256 descriptors (every third seed). Memory is sampled and checked.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,7 +14,7 @@
 
 from tests.soak.control import RunController
 from tests.soak.oracle import Oracle, Violation, read_history
-from tests.soak.plan import RunSize
+from tests.soak.plan import RunSize, vary_size
 
 MAX_EXAMPLES = 3  # the most violations printed for each invariant of a run
 MAX_PROCESSES = 200  # over all roles; hot restarts double the gateways for a time
@@ -76,6 +76,7 @@
     """Perform one run, print a summary and the violations, and return their number."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     started_at = time.monotonic()
+    size = vary_size(size, seed)
     asyncio.run(run_until_signal(RunController(seed, size, folder)))
     history = read_history(folder)
     violations = Oracle(history, size, slack).check()
@@ -105,6 +106,7 @@
         client_processes=arguments.client_processes,
         clients_each=arguments.clients_each,
         seconds=arguments.seconds,
+        shutdown_slack=arguments.slack,
     )
     try:
         violations = sum(run_seed(seed, size, arguments.slack, arguments.keep) for seed in arguments.seeds)
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -38,6 +38,8 @@
         self.gateways: list[tuple[str, int]] = arguments["gateways"]
         self.log = log
         self.rng = random.Random(f"{arguments['seed']} {name}")
+        self.budgets = [min(budget, arguments["longest_deadline"]) for budget in BUDGETS]
+        self.never_rests: bool = arguments["never_rests"]
         self.request_count = 0
         self.reader: asyncio.StreamReader
         self.writer: asyncio.StreamWriter
@@ -49,7 +51,8 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            await asyncio.sleep(self.rng.expovariate(1.0 / MEAN_REQUEST_INTERVAL))
+            if not (self.never_rests and self.connected):
+                await asyncio.sleep(self.rng.expovariate(1.0 / MEAN_REQUEST_INTERVAL))
             try:
                 if not self.connected:
                     await self.connect()
@@ -85,14 +88,14 @@
             await self.exchange(1, slowly=True)
         else:
             await self.send_bad_request()
-        if self.rng.random() > KEEP_ALIVE_FRACTION:
+        if not self.never_rests and self.rng.random() > KEEP_ALIVE_FRACTION:
             await self.disconnect()
 
     def next_request(self) -> tuple[str, bytes, float, str]:
         """Return the call id, the bytes, the budget in seconds and the class of a new request."""
         self.request_count += 1
         number = (int(self.name) << 32) + self.request_count
-        budget = self.rng.choice(BUDGETS)
+        budget = self.rng.choice(self.budgets)
         request_class = self.rng.choice(REQUEST_CLASSES)
         customer = f"{self.rng.randrange(40):016x}"
         text = request(number, request_class, budget, customer=customer)
--- a/tests/soak/control.py
+++ b/tests/soak/control.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import pathlib
+import re
 import signal
 import sys
 import time
@@ -19,6 +20,8 @@
 from tests.soak.plan import (
     CLOCK_STEPS,
     CONNECT_ERRORS,
+    CROWD_MEMORY,
+    CROWD_SOCKETS,
     FOLDER_ERRORS,
     HOST,
     RESOURCE_ERRORS,
@@ -32,6 +35,8 @@
 PAUSE_TIMES = (0.05, 0.15, 0.15, 0.3)  # seconds for which a gateway process is stopped
 MAX_FAILURE_RATE = 0.12  # the largest fraction of system calls that fail
 PARTIAL_FILE_TIME = 0.3  # seconds for which a configuration file is incomplete or unreadable
+MEGABYTE = 1_000_000  # bytes
+MEMORY_SAMPLE_INTERVAL = 0.25  # seconds
 SETTLE_TIME = 4.0  # seconds after the clients' last requests until all responses have arrived
 BACKEND_MODES = {
     Fault.BACKEND_HANGS: BackendMode.HANGS,
@@ -56,12 +61,21 @@
 }
 
 
+def private_bytes(process_id: int) -> int:
+    """Return the memory that belongs to a process alone, 0 if it has ended."""
+    try:
+        text = pathlib.Path(f"/proc/{process_id}/smaps_rollup").read_text()
+    except OSError:
+        return 0
+    return sum(1024 * int(size) for size in re.findall(r"Private_\w+:\s+(\d+) kB", text))
+
+
 def gateway_settings(size: RunSize, index: int) -> dict[str, Any]:
     """Return the settings of one gateway: those of the example, with short deadlines and more quota."""
     settings = example_settings()
     settings.update(balancers=size.gateways, me=index)
     for service in settings["services"]:
-        service.update(aim=800.0, deadline=2500.0)
+        service.update(aim=min(800.0, 500.0 * size.longest_deadline), deadline=1000.0 * size.longest_deadline)
     settings["packages"][0].update(peak_units=40.0, units_per_s=20.0)
     return settings
 
@@ -108,6 +122,8 @@
         self.proxy: Worker
         self.addresses: list[str] = []  # of the proxy, one for each backend
         self.draining: set[int] = set()
+        self.memory_limit = CROWD_MEMORY if size.crowd_each else 192  # megabytes
+        self.socket_limit = CROWD_SOCKETS if size.crowd_each else 512
 
     async def start_worker(self, role: str, name: str, arguments: dict[str, Any]) -> Worker:
         """Start a worker process with a role."""
@@ -179,11 +195,11 @@
                 "discovery": agents[0].address,
                 "counter": self.counter.address,
                 "seed": f"{self.seed * 1000 + index:x}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                "limits": {"cores": 1.0, "memory_mb": self.memory_limit, "sockets": self.socket_limit},
                 "known": {"generation": 1, "reset": True, "instances": list(self.endpoints.entries.values())},
                 "settings": gateway_settings(self.size, index),
             }
-            self.gateways.append(Gateway(index, self.folder, document, self.log))
+            self.gateways.append(Gateway(index, self.folder, document, self.log, self.size))
         await asyncio.gather(*(gateway.start() for gateway in self.gateways))
 
     async def run_workload(self) -> None:
@@ -192,11 +208,20 @@
         for number in range(self.size.client_processes):
             first = number * self.size.clients_each
             names = [str(first + offset + 1) for offset in range(self.size.clients_each)]
-            arguments = {"names": names, "gateways": gateways, "seconds": self.size.seconds}
+            arguments = {
+                "names": names,
+                "gateways": gateways,
+                "seconds": self.size.seconds,
+                "longest_deadline": self.size.longest_deadline,
+                "never_rests": self.size.never_rests,
+            }
             await self.start_worker("clients", f"clients-{number}", arguments)
+        if self.size.crowd_each:
+            crowd = {"clients": self.size.crowd_each * self.size.gateways, "gateways": gateways}
+            await self.start_worker("crowd", "crowd", {**crowd, "seconds": self.size.seconds})
         started_at = time.monotonic()
         self.log.write("run_started")
-        tasks = []
+        tasks = [asyncio.ensure_future(self.watch_memory(started_at + self.size.seconds))]
         for fault in plan_faults(self.seed, self.size.seconds):
             await asyncio.sleep(max(started_at + fault.starts_at - time.monotonic(), 0.0))
             tasks.append(asyncio.ensure_future(self.inject(fault)))
@@ -204,10 +229,19 @@
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_TIME)
 
+    async def watch_memory(self, end: float) -> None:
+        """Log each sample of a gateway process's own memory that is over its limit."""
+        while time.monotonic() < end:
+            for child in [child for gateway in self.gateways for child in gateway.running]:
+                size = private_bytes(child.os_process.pid)
+                if size > self.memory_limit * MEGABYTE:
+                    self.log.write("memory_exceeded", process=child.name, size=size)
+            await asyncio.sleep(MEMORY_SAMPLE_INTERVAL)
+
     async def stop(self) -> None:
         """Terminate all gateways as in a planned restart, then stop the workers and the fake services."""
         for gateway in self.gateways:
-            await asyncio.gather(*(child.terminate() for child in gateway.running))
+            await gateway.terminate(gateway.running)
         self.log.write("run_ended")
         for worker in self.workers:
             await worker.stop()
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -15,12 +15,13 @@
 from tests.fakes import read_message
 from tests.fault_injection.injector import FaultInjector
 from tests.soak.event_log import EventLog
-from tests.soak.plan import HOST
+from tests.soak.plan import HOST, RunSize
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 GATEWAY_COMMAND = os.environ.get("GATEWAY_RUN") or f"exec {shlex.quote(sys.executable)} -m quota_gateway"
 READY_TIMEOUT = 10.0  # seconds after its start within which a gateway must be ready
-SHUTDOWN_TIMEOUT = 3.2  # seconds from SIGTERM to SIGKILL: the longest deadline of 2.5 s plus 0.7 s
+SIGNAL_INTERVAL = 0.1  # seconds between signals in a series
+SERIES = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)  # the signals that follow SIGTERM in a series
 POLL_INTERVAL = 0.02  # seconds between two readiness checks
 
 
@@ -46,11 +47,14 @@
             self.log.write("signal_sent", process=self.name, signal_name=number.name)
             self.os_process.send_signal(number)
 
-    async def terminate(self) -> None:
-        """Send SIGTERM, and kill the process if it has not exited after the platform's shutdown timeout."""
+    async def terminate(self, kill_delay: float, repeats_signals: bool) -> None:
+        """Send SIGTERM, and kill the process if it has not exited after `kill_delay` seconds."""
         self.signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(SHUTDOWN_TIMEOUT):
+            async with asyncio.timeout(kill_delay):
+                for number in SERIES if repeats_signals else ():
+                    await asyncio.sleep(SIGNAL_INTERVAL)
+                    self.signal(number)
                 code = await self.os_process.wait()
         except TimeoutError:
             self.log.write("shutdown_timeout", process=self.name)
@@ -82,7 +86,10 @@
     Gateways with an even index inherit a listening socket and support hot restart; the others bind their own.
     """
 
-    def __init__(self, index: int, folder: pathlib.Path, document: dict[str, Any], log: EventLog) -> None:
+    def __init__(
+        self, index: int, folder: pathlib.Path, document: dict[str, Any], log: EventLog, size: RunSize
+    ) -> None:
+        self.size = size
         self.index = index
         self.folder = folder
         self.document = document
@@ -182,7 +189,7 @@
         if self.inherits_socket and self.running:
             await self.hot_restart()
             return
-        await asyncio.gather(*(child.terminate() for child in self.running))
+        await self.terminate(self.running)
         self.clear_maintenance()
         await self.start()
 
@@ -193,7 +200,12 @@
             return
         old_processes = self.running
         await self.start()
-        await asyncio.gather(*(child.terminate() for child in old_processes))
+        await self.terminate(old_processes)
+
+    async def terminate(self, children: list[GatewayChild]) -> None:
+        """Terminate processes at the same time, as in a planned restart."""
+        size = self.size
+        await asyncio.gather(*(child.terminate(size.kill_delay, size.repeats_signals) for child in children))
 
     async def kill_new_process(self, delay: float) -> None:
         """Start a new process and kill it `delay` seconds after it is ready."""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -273,6 +273,10 @@
         for event in self.history.events:
             if event.name in ("start_failed", "ready_timeout", "shutdown_timeout", "client_failed"):
                 self.report("processes start and end in time", str(event.fields), event.name, [event])
+            if event.name == "memory_exceeded":
+                self.report(
+                    "memory stays within its limit", event.fields["process"], str(event.fields), [event]
+                )
             if event.name == "ended" and event.fields.get("process") and event.fields["code"] != 0:
                 self.report("processes end well", event.fields["process"], str(event.fields), [event])
             if event.name == "bad_request_not_closed" and not self.was_signalled(event):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -4,7 +4,7 @@
 
 import errno
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 HOST = "127.0.0.1"
@@ -13,6 +13,12 @@
 # Mean seconds between the starts of two faults. Most faults last longer than this, so that they overlap.
 MEAN_FAULT_INTERVAL = 0.45
 HOUR = 3600.0  # seconds
+MAX_DEADLINE = 3.0  # seconds; a longer deadline does not delay SIGKILL further
+KILL_DELAY = 0.7  # seconds from the longest deadline after SIGTERM to SIGKILL
+LONGEST_DEADLINES = (2.5, 0.6, 1.2, 0.8)  # seconds
+CROWD_EACH = 130  # more clients than a gateway with CROWD_SOCKETS accepts
+CROWD_SOCKETS = 256  # descriptors of a gateway in a run with a crowd
+CROWD_MEMORY = 48  # megabytes of memory of such a gateway
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +31,16 @@
     client_processes: int
     clients_each: int
     seconds: float
+    longest_deadline: float = 2.5  # seconds, of all request classes
+    crowd_each: int = 0  # clients of the crowd for each gateway
+    repeats_signals: bool = False  # whether SIGTERM is sent again, with SIGHUP in between
+    never_rests: bool = False  # whether clients send on open connections as long as those stay open
+    shutdown_slack: float = 0.0  # seconds by which SIGKILL comes later than it may
+
+    @property
+    def kill_delay(self) -> float:
+        """Seconds from SIGTERM to SIGKILL: the earliest time that the platform allows itself."""
+        return min(self.longest_deadline, MAX_DEADLINE) + KILL_DELAY + self.shutdown_slack
 
     @property
     def backends(self) -> int:
@@ -32,6 +48,17 @@
         return self.backend_processes * self.backends_each
 
 
+def vary_size(size: RunSize, seed: int) -> RunSize:
+    """Return the run of a seed: its deadlines, its crowd, and the habits of its clients and platform."""
+    return replace(
+        size,
+        longest_deadline=LONGEST_DEADLINES[seed % len(LONGEST_DEADLINES)],
+        crowd_each=CROWD_EACH if seed % 3 == 0 else 0,
+        repeats_signals=seed % 2 == 0,
+        never_rests=seed % 4 != 1,
+    )
+
+
 class Fault(StrEnum):
     """The kinds of fault that a run injects.
 
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -7,10 +7,10 @@
 import pathlib
 import sys
 
-from tests.soak import backends, clients, fault_proxy
+from tests.soak import backends, clients, crowd, fault_proxy
 from tests.soak.event_log import EventLog
 
-ROLES = {"backends": backends.run, "clients": clients.run, "proxy": fault_proxy.run}
+ROLES = {"backends": backends.run, "clients": clients.run, "crowd": crowd.run, "proxy": fault_proxy.run}
 
 
 def main() -> None:
