What one read brings of a streamed body is passed on at once, not chunk by chunk

Cause: RequestBodyStream.feed notified the upstream side for each chunk, so that each byte was a write of its own.

Change: feed only buffers; RequestReader delivers once a piece of input is parsed.

The soak's clients close their connections at the end of a run.

--- a/quota_gateway/body_streaming.py
+++ b/quota_gateway/body_streaming.py
@@ -33,10 +33,11 @@
 class RequestBodyStream:
     """Buffer between the client connection that receives a request body and the attempt that forwards it.
 
-    Only one attempt can forward the body. The downstream side calls `feed` and `finish`; the upstream side
-    calls `next_chunk` and `take_last_chunk`. Three callbacks notify the other side: `on_space_available` when
-    a full buffer has space again, `on_data` when there is data to forward or the body is complete, and
-    `on_first_read` before the first data is taken, after which the body cannot be sent again.
+    Only one attempt can forward the body. The downstream side calls `feed`, `deliver` and `finish`; the
+    upstream side calls `next_chunk` and `take_last_chunk`. Three callbacks notify the other side:
+    `on_space_available` when a full buffer has space again, `on_data` when there is data to forward or the
+    body is complete, and `on_first_read` before the first data is taken, after which the body cannot be sent
+    again.
     """
 
     def __init__(self, length: int | None, budget: float) -> None:
@@ -76,13 +77,17 @@
         return self.buffered_bytes >= self.capacity
 
     def feed(self, data: bytes) -> None:
-        """Append data that was received from the client."""
+        """Append data that was received from the client; `deliver` passes it on."""
         if self.chunks and len(self.chunks[-1]) < MIN_PIECE_BYTES:
             self.chunks[-1] += data
         else:
             self.chunks.append(bytearray(data))
         self.buffered_bytes += len(data)
-        self.on_data()
+
+    def deliver(self) -> None:
+        """Notify the upstream side of data, once for all that was received together."""
+        if self.chunks:
+            self.on_data()
 
     def finish(self) -> None:
         """Mark the body as complete, as the client has sent its last byte."""
--- a/quota_gateway/downstream/request_reader.py
+++ b/quota_gateway/downstream/request_reader.py
@@ -52,8 +52,7 @@
         self.request_started_at = now
         self.body_started_at = now
         self.any_request_started = False
-        self.in_request = False
-        self.in_head = False
+        self.in_request = self.in_head = False
         self.head_size = 0  # bytes fed to the parser while in a head
         self.http_version = "1.1"
         self.expects_continue = False  # the client waits for "100 Continue" before it sends its body
@@ -91,6 +90,8 @@
         self.parsing = True
         try:
             self.parse_messages(data)
+            if self.body_stream is not None:
+                self.body_stream.deliver()
         except httptools.HttpParserError as error:
             raise InvalidRequestError(400, "not HTTP") from error
         finally:
@@ -182,8 +183,7 @@
         if self.any_request_started:  # the time of the first request starts with the connection
             self.request_started_at = self.received_at
         self.any_request_started = True
-        self.in_request = True
-        self.in_head = True
+        self.in_request = self.in_head = True
         self.head_size = 0
 
     def on_url(self, url: bytes) -> None:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -200,6 +200,8 @@
     for task in pending:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+    for client in clients:
+        await client.disconnect()
     for task in tasks:
         if not task.cancelled() and task.exception() is not None:
             log.write("client_failed", error=repr(task.exception()))
--- a/tests/test_flooding_client.py
+++ b/tests/test_flooding_client.py
@@ -41,7 +41,18 @@
     return UNSOUND_REQUEST
 
 
+def one_byte_chunks(number: int) -> bytes:
+    """Return one long request among many numbers."""
+    if number % 10_000 != 1:
+        return b""
+    head = request(
+        number, "extract", 1.0, omit_header="Content-Length", body=b"", Transfer_Encoding="chunked"
+    )
+    return head + 200_000 * b"1\r\na\r\n" + b"0\r\n\r\n"
+
+
 FLOODS = {
+    "one_byte_chunks": one_byte_chunks,
     "readiness_checks": readiness_check,
     "same_customer": same_customer,
     "new_customers": new_customers,
