--- a/quota_gateway/upstream/response_parser.py
+++ b/quota_gateway/upstream/response_parser.py
@@ -28,7 +28,7 @@
     """Parses the responses on one connection, one after the other."""
 
     __slots__ = (
-        "_body_chunks",
+        "_body",
         "_body_size",
         "_has_extra_message",
         "_headers",
@@ -48,7 +48,6 @@
         """Initialize; `open_stream` returns a sink for a long response, or None if it can't be forwarded."""
         self._open_stream: Callable[[ResponseHead], StreamSink | None] | None = open_stream
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self._reset_message()
         self.reset()
 
     def reset(self) -> None:
@@ -62,12 +61,11 @@
         self._has_extra_message = False  # whether another message began after the response
         self._is_malformed = False
         self._is_in_body = False
-        self._body_chunks: list[bytes] = []  # the headers are reset in on_message_begin
-        self._body_size = 0
+        self._reset_message()
 
     def _reset_message(self) -> None:
         self._headers = ResponseHeaders()
-        self._body_chunks = []
+        self._body = bytearray()  # what is buffered of it
         self._body_size = 0
 
     def release(self) -> None:
@@ -76,8 +74,12 @@
         self._open_stream = None
 
     def feed(self, data: bytes) -> None:
-        """Parse the next bytes of the connection."""
+        """Parse the next bytes of the connection, and forward those of a streamed body together."""
         self.bytes_received += len(data)
+        self._parse(data)
+        self._forward()
+
+    def _parse(self, data: bytes) -> None:
         while self._parser is not None and data:
             try:
                 self._parser.feed_data(data)
@@ -102,9 +104,8 @@
     @property
     def is_length_unknown(self) -> bool:
         """Whether the body of a successful response has begun and may turn out to be too long to buffer."""
-        is_short_so_far = self._is_in_body and self._body_size <= MAX_BUFFERED_BYTES
-        has_no_length = self._headers.content_length is None
-        return is_short_so_far and has_no_length and not self.is_complete and self._may_be_streamed()
+        has_no_length = self._is_in_body and self._headers.content_length is None
+        return has_no_length and self.may_be_short and not self.is_complete and self._may_be_streamed()
 
     @property
     def may_be_short(self) -> bool:
@@ -114,8 +115,8 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """The bytes of the body that are buffered, about."""
-        return self._body_size if self._body_chunks else 0
+        """The bytes of the body that are buffered."""
+        return len(self._body)
 
     def start_streaming(self) -> bool:
         """Forward the response from now on, whatever its length; return False if it can't be forwarded."""
@@ -123,10 +124,16 @@
             headers = self._headers
             head = ResponseHead(headers.content_length, headers.forwarded_headers, headers.billed_units)
             self.sink = self._open_stream(head)
-        while self.sink is not None and self._body_chunks:
-            self.sink.write_body(self._body_chunks.pop(0))
+            self._forward()
         return self.sink is not None
 
+    def _forward(self) -> None:
+        """Pass what is buffered to the sink, if the response is streamed."""
+        if self.sink is not None and self._body:
+            data = bytes(self._body)
+            self._body.clear()
+            self.sink.write_body(data)
+
     def complete_at_eof(self) -> bool:
         """Handle the end of the stream and return whether it completes the response.
 
@@ -146,14 +153,13 @@
     def take_result(self) -> AttemptResult:
         """Return the result of a complete response, and release its buffer and sink."""
         has_full_body = self._has_full_body()
-        body_chunks = self._body_chunks
+        body = bytes(self._body)
         headers = self._headers
-        self._body_chunks = []
+        self._body = bytearray()
         self.sink = None
         if not has_full_body:
             return AttemptResult(Outcome.BROKEN_RESPONSE)
         if self._status == 200:
-            body = b"".join(body_chunks)
             return AttemptResult(Outcome.SUCCESS, body, headers.billed_units, headers.forwarded_headers)
         if headers.is_rejection and self._status in REJECTION_STATUSES:
             return AttemptResult(Outcome.REJECTED)
@@ -163,8 +169,6 @@
         """Return whether the entire body was buffered or forwarded."""
         return self.sink is not None or self._body_size <= MAX_BUFFERED_BYTES
 
-    # Callbacks for httptools.
-
     def on_message_begin(self) -> None:
         """Start a message: an interim response, the final response, or an unsolicited one."""
         self.is_in_progress = True
@@ -199,13 +203,10 @@
         if self.is_complete:
             return
         self._body_size += len(data)
-        if self.sink is not None:
-            if self._body_size <= MAX_BODY_BYTES:
-                self.sink.write_body(data)
-        elif self._body_size <= MAX_BUFFERED_BYTES:
-            self._body_chunks.append(data)
-        elif self._may_be_streamed():
-            self._body_chunks.append(data)
+        if self._body_size <= (MAX_BUFFERED_BYTES if self.sink is None else MAX_BODY_BYTES):
+            self._body += data
+        elif self.sink is None and self._may_be_streamed():
+            self._body += data
             self._is_malformed = not self.start_streaming()
 
     def _may_be_streamed(self) -> bool:
