Less accounting for each request; a refused first attempt no longer hides the id of its call

Cause: the memory budget was updated several times for a request that is read and answered in one piece. An id was remembered only with the first attempt of its request; one whose first attempt was refused before it was sent, and whose second was sent, was not (by reading).

Change: connections count their bytes once for a read that leaves nothing, and read buffers are handed out whole while memory is plentiful. An id is remembered with the first attempt that is sent.

--- a/quota_gateway/dispatch/request_registry.py
+++ b/quota_gateway/dispatch/request_registry.py
@@ -32,11 +32,13 @@
         self.unanswered_request_count += 1
 
     def record_attempt(self, active_request: ActiveRequest) -> bool:
-        """Remember the id of a request that must not run twice; return whether this is its first attempt."""
-        is_first = active_request.forbids_repeats and len(active_request.attempts) == 1
-        if is_first:
-            self.repeated_calls.add(active_request.request.call_id, self._clock())
-        return is_first
+        """Remember the id of a request that must not run twice; return whether it was not known before."""
+        call_id = active_request.request.call_id
+        now = self._clock()
+        if not active_request.forbids_repeats or self.repeated_calls.is_repeat(call_id, now):
+            return False
+        self.repeated_calls.add(call_id, now)
+        return True
 
     def is_known_call(self, call_id: bytes) -> bool:
         """Return whether a request with this id is in progress, or may have run and must not be repeated."""
--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -84,7 +84,8 @@
             data = self.unread[:size]
             self.unread = self.unread[size:]
             request_handler.parse(data)
-            self.memory.update(count_held_bytes(self))
+            if self.unread:
+                self.memory.update(count_held_bytes(self))
         self.update_reading()
 
     def is_full(self) -> bool:
--- a/quota_gateway/downstream/flow_control.py
+++ b/quota_gateway/downstream/flow_control.py
@@ -64,10 +64,12 @@
         self.transport.set_write_buffer_limits(high=self.listener.buffers.write_limit)
         self.arrival_bound.watch(self.listener.clock())
 
-    def get_buffer(self, sizehint: int) -> memoryview:
+    def get_buffer(self, sizehint: int) -> bytearray | memoryview:
         """Return the buffer to read into, a part of it while memory is short (asyncio)."""
-        self.read_size = self.listener.buffers.memory.read_size(READ_BUFFER_BYTES)
-        return memoryview(self.listener.buffers.read_buffer)[: self.read_size]
+        buffers = self.listener.buffers
+        part = buffers.memory.readable_part(buffers.read_buffer)
+        self.read_size = len(part)
+        return part
 
     def buffer_updated(self, nbytes: int) -> None:
         """Copy the data out of the buffer, which all connections share (asyncio)."""
--- a/quota_gateway/memory_budget.py
+++ b/quota_gateway/memory_budget.py
@@ -48,9 +48,12 @@
         self.used += byte_count
         self.exhausted_count += self.is_exhausted and not was_exhausted
 
-    def read_size(self, most: int) -> int:
-        """Return how many bytes, of at most `most`, may be read from a connection at a time."""
-        return min(most, max(self.limit - self.used, SMALL_BUFFER_BYTES))
+    def readable_part(self, read_buffer: bytearray) -> bytearray | memoryview:
+        """Return as much of a read buffer as may be read from a connection at a time."""
+        left = self.limit - self.used
+        if left >= len(read_buffer):
+            return read_buffer
+        return memoryview(read_buffer)[: max(left, SMALL_BUFFER_BYTES)]
 
     def share(self, least: int, most: int, parts: int) -> int:
         """Return the bytes for each of so many parts of the budget, from `least` to `most`."""
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from quota_gateway.body_streaming import READ_BUFFER_BYTES, RequestBodyStream, ResponseHead, StreamSink
+from quota_gateway.body_streaming import RequestBodyStream, ResponseHead, StreamSink
 from quota_gateway.memory_budget import BufferAccount, MemoryBudget
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.sockets.kernel_state import has_unread_input
@@ -154,9 +154,9 @@
             if self.attempt is not None:
                 self.read_timeout.restart(self.attempt, self._response)
 
-    def get_buffer(self, sizehint: int) -> memoryview:
+    def get_buffer(self, sizehint: int) -> bytearray | memoryview:
         """Return the read buffer, which all connections share; a part of it while memory is short."""
-        return memoryview(self.pool.read_buffer)[: self.pool.memory.read_size(READ_BUFFER_BYTES)]
+        return self.pool.memory.readable_part(self.pool.read_buffer)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes that were read into the shared buffer."""
@@ -171,7 +171,6 @@
         response = self._response
         attempt.response_bytes += len(data)
         response.feed(data)
-        self._update_account()
         if self.attempt is not attempt:
             return  # the attempt ended while a part of the body was forwarded
         if response.is_complete:
@@ -180,6 +179,7 @@
             # The endpoint may have executed the request even if its response is invalid.
             attempt.end(AttemptResult(Outcome.BROKEN_RESPONSE))
         elif response.is_in_progress and not self.is_reading_paused:
+            self._update_account()
             self.read_timeout.restart(attempt, self._response)
 
     def _update_account(self) -> None:
--- a/tests/soak/gateways.py
+++ b/tests/soak/gateways.py
@@ -104,9 +104,7 @@
         self.listener.bind((HOST, 0))
         self.port: int = self.listener.getsockname()[1]
         if self.inherits_socket:
-            self.listener.listen(256)
-        else:
-            self.listener.close()
+            self.listener.listen(256)  # otherwise the socket only keeps the port from other processes
         self.children: list[GatewayChild] = []
         self.start_count = 0
         self.lifecycle_lock = asyncio.Lock()
--- a/tests/test_repeated_calls.py
+++ b/tests/test_repeated_calls.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from quota_gateway.policy.repeated_calls import MAX_REMEMBERED_CALLS, REPEAT_WINDOW, RepeatedCalls
 from tests.fakes import HOST, HttpMessage, ResponseStep, http_response, send_success
 from tests.harness import Client, GatewayHarness, request, running_gateway
 from tests.test_hot_restart import process_group
@@ -65,6 +66,18 @@
     return statuses
 
 
+def test_ids_are_forgotten_after_a_while_and_beyond_a_number() -> None:
+    calls = RepeatedCalls()
+    calls.add(b"early", 100.0)
+    assert calls.is_repeat(b"early", 100.0 + REPEAT_WINDOW - 1.0)
+    assert not calls.is_repeat(b"early", 100.0 + REPEAT_WINDOW)
+    for number in range(MAX_REMEMBERED_CALLS):
+        calls.add(b"%d" % number, 101.0)
+    assert len(calls.ids()) == MAX_REMEMBERED_CALLS and not calls.is_repeat(b"early", 101.0)
+    calls.add(b"late", 101.0 + REPEAT_WINDOW)
+    assert calls.ids() == (b"late",)
+
+
 @pytest.mark.parametrize("leave", [close_connection, Client.reset], ids=["close", "reset"])
 @pytest.mark.parametrize("pause", [0.0, 2 * SERVICE_TIME], ids=["running", "ended"])
 async def test_call_that_comes_again_after_its_client_left_runs_once(
