--- a/quota_gateway/downstream/client_connection.py
+++ b/quota_gateway/downstream/client_connection.py
@@ -7,7 +7,7 @@
 
 from quota_gateway.downstream.flow_control import FlowControlledConnection, Listener
 from quota_gateway.downstream.half_close import DispatchingListener, HalfClose
-from quota_gateway.downstream.input_turn import MAX_REQUESTS_PER_TURN, InputTurn
+from quota_gateway.downstream.input_turn import InputTurn, TurnBudget
 from quota_gateway.downstream.request_handler import RequestHandler
 from quota_gateway.downstream.request_reader import held_bytes
 from quota_gateway.downstream.request_router import RequestRouter
@@ -27,6 +27,7 @@
 
     router: RequestRouter
     connections: set[ClientConnection]
+    turn_budget: TurnBudget
 
     def is_shutting_down(self) -> bool:
         """Return True while connections close after their pending responses."""
@@ -74,7 +75,8 @@
     def process_unread(self) -> None:
         """Parse received bytes as far as the limits allow, then pause or resume reading."""
         request_handler = self.request_handler
-        last_request = request_handler.request_count + MAX_REQUESTS_PER_TURN
+        first_request = request_handler.request_count
+        last_request = first_request + self.listener.turn_budget.turn_size()
         while self.unread and not (self.input_ended or self.is_full() or request_handler.error_pause_timer):
             if request_handler.request_count >= last_request:
                 self.turn.end()
@@ -86,6 +88,7 @@
             request_handler.parse(data)
             if self.unread:
                 self.memory.update(count_held_bytes(self))
+        self.listener.turn_budget.record_requests(request_handler.request_count - first_request)
         self.update_reading()
 
     def is_full(self) -> bool:
@@ -199,10 +202,7 @@
             self.listener.dispatcher.client_disconnected(request_id)
 
     def is_short_of_memory(self) -> bool:
-        """Return True while further input is left unread for want of memory.
-
-        A body that is streamed goes on, as its buffer is small and empties by itself.
-        """
+        """Return True while input is left unread for want of memory; a streamed body goes on."""
         return self.request_handler.body_stream is None and not self.memory.may_grow
 
     def last_used_at(self) -> float:
--- a/quota_gateway/downstream/client_listener.py
+++ b/quota_gateway/downstream/client_listener.py
@@ -15,6 +15,7 @@
 from quota_gateway.downstream.connection_limits import BUSY_FRACTION, BUSY_IDLE_TIMEOUT, IDLE_TIMEOUT
 from quota_gateway.downstream.connection_timeouts import enforce_timeouts
 from quota_gateway.downstream.disconnect_monitor import DisconnectMonitor
+from quota_gateway.downstream.input_turn import TurnBudget
 from quota_gateway.downstream.request_router import RequestRouter
 from quota_gateway.memory_budget import MemoryBudget
 from quota_gateway.model.settings import Settings
@@ -52,6 +53,7 @@
         self.max_connections = max_connections
         self.limit_reduction = 0  # reduction of the connection limit while descriptors are short
         self.buffers = ClientBuffers(memory, max_connections)
+        self.turn_budget = TurnBudget(asyncio.get_running_loop())
         self.is_serving = is_serving
         self.router = RequestRouter(dispatcher, settings, self.is_ready)
         self.connections: set[ClientConnection] = set()
@@ -83,10 +85,7 @@
         self.draining = enabled
 
     def listen(self, listener: socket.socket, is_queue_old: bool = False) -> None:
-        """Accept connections from a listening socket, which this object then owns and closes.
-
-        With `is_queue_old` connections may have waited in its queue for an unknown time.
-        """
+        """Accept from a socket, which this object then owns; connections may be old with `is_queue_old`."""
         self.listener = listener
         now = self.clock()
         self.queue_arrival_bound = ArrivalBound(self.loop_monitor, UNKNOWN_TIME if is_queue_old else now, now)
--- a/quota_gateway/downstream/input_turn.py
+++ b/quota_gateway/downstream/input_turn.py
@@ -6,6 +6,32 @@
 from collections.abc import Callable
 
 MAX_REQUESTS_PER_TURN = 16  # requests of one connection handled before others get their turn
+# Requests of all connections in one iteration of the event loop, after which each has turns of one request.
+MAX_REQUESTS_PER_ITERATION = 64
+
+
+class TurnBudget:
+    """Counts the requests that all connections have handled in the current iteration of the event loop."""
+
+    __slots__ = ("_loop", "_request_count")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Initialize without requests."""
+        self._loop = loop
+        self._request_count = 0
+
+    def turn_size(self) -> int:
+        """Return how many requests a connection may handle in a turn that begins now."""
+        return MAX_REQUESTS_PER_TURN if self._request_count < MAX_REQUESTS_PER_ITERATION else 1
+
+    def record_requests(self, count: int) -> None:
+        """Count requests that have been handled."""
+        if count and not self._request_count:
+            self._loop.call_soon(self._begin_iteration)
+        self._request_count += count
+
+    def _begin_iteration(self) -> None:
+        self._request_count = 0
 
 
 class InputTurn:
