--- a/review/stand_ins_2/kit.py
+++ b/review/stand_ins_2/kit.py
@@ -280,23 +280,30 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             message = await read_message(reader)
-            since_match = re.search(r"since=(\d+)", message.start_line)
-            timeout_match = re.search(r"timeout_ms=(\d+)", message.start_line)
-            since = int(since_match[1]) if since_match else None
             if self.is_crowded:
                 self.refuse(writer)
                 continue
-            if since is not None and since >= self.generation and timeout_match:
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), int(timeout_match[1]) / 1000)
+            document = await self.answer_to(message)
             if self.is_crowded:
                 self.refuse(writer)
                 continue
-            document = self.document(since)
             writer.write(response(200, json.dumps(document).encode()))
-            for row in document["instances"]:
-                at = self.record.write("told", backend=row["instanceId"], lifecycle=row["lifecycle"])
-                self.told.append((at, row["instanceId"], row["lifecycle"]))
+            self.note_told(document)
+
+    async def answer_to(self, message: Message) -> dict[str, Any]:
+        """Return the answer to a call, once there is something newer or its wait is over."""
+        since_match = re.search(r"since=(\d+)", message.start_line)
+        timeout_match = re.search(r"timeout_ms=(\d+)", message.start_line)
+        since = int(since_match[1]) if since_match else None
+        if since is not None and since >= self.generation and timeout_match:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), int(timeout_match[1]) / 1000)
+        return self.document(since)
+
+    def note_told(self, document: dict[str, Any]) -> None:
+        for row in document["instances"]:
+            at = self.record.write("told", backend=row["instanceId"], lifecycle=row["lifecycle"])
+            self.told.append((at, row["instanceId"], row["lifecycle"]))
 
     def refuse(self, writer: asyncio.StreamWriter) -> None:
         self.crowded_calls += 1
@@ -511,6 +518,8 @@
 def main(case: Callable[[Record, pathlib.Path], Awaitable[bool]], folder: pathlib.Path) -> None:
     """Run a case and exit; `case` returns True if the rule held."""
     record = Record(folder)
+    for number in (signal.SIGTERM, signal.SIGHUP):  # the case ends its processes, also when it is ended itself
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
 
     async def run() -> bool:
         with tempfile.TemporaryDirectory() as temporary:
@@ -518,12 +527,15 @@
                 return await case(record, pathlib.Path(temporary))
 
     try:
-        held = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+        code = HELD if asyncio.run(run()) else BROKEN
+    except (CannotRunError, TimeoutError, OSError, SystemExit) as error:
         record.write("could_not_run", error=repr(error))
         print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(COULD_NOT_RUN)
-    verdict = "held" if held else "broken"
-    record.write("verdict", rule=verdict)
-    print(f"rule {verdict}")
-    sys.exit(HELD if held else BROKEN)
+        code = COULD_NOT_RUN
+    else:
+        verdict = "held" if code == HELD else "broken"
+        record.write("verdict", rule=verdict)
+        print(f"rule {verdict}")
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)  # the stand-ins' open connections are not ended one by one
