--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,8 @@
-"""Discovery's answers in another form of HTTP/1.1: without a length, ended by the end of the connection."""
+"""Long answers without a length, from backends that spend seconds writing them."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import pathlib
 import random
 import sys
@@ -13,81 +12,103 @@
 
 import kit  # noqa: E402
 
-DRAIN_GRACE = 2.0 + 0.05  # seconds from the news to the last thing sent, by the settings and the protocol page
-TOLD_AFTER = 6.0  # seconds after discovery has a change and can be reached, at the latest
-MACHINE_SLACK = 0.5  # seconds more, for a busy machine
-WATCHED = 6.0  # seconds after all of that
+ANSWER_BYTES = 160_000  # of at most 32 MB, and over 64 KiB
+FIRST_PIECE = 30_000  # bytes that a backend writes at once
+PAUSE = 2.0  # seconds that it spends before it writes on
+PIECE = 26_000  # bytes of each further piece
+PIECE_INTERVAL = 0.2  # seconds between them
+BUDGET = 1.25  # seconds: half of the class's deadline
+LONG_SHARE = 0.2  # of the answers
+SECONDS = 8.0
 CLIENTS = 8
 
 
-class PlainAgent(kit.Agent):
-    """An agent that ends each answer by ending the connection, as `Connection: close` says."""
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if not kit.trouble():
-            await super().serve(reader, writer)
-            return
-        message = await kit.read_message(reader)
-        document = await self.answer_to(message)
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n")
-        writer.write(json.dumps(document).encode())
-        writer.write_eof()
-        self.note_told(document)
-        await reader.read()  # until the gateway closes its side too
-
-
 async def case(record: kit.Record, folder: pathlib.Path) -> bool:
     rng = random.Random(1)
-    backends = [kit.Backend(f"s-{index}", record) for index in range(4)]
-    agent = PlainAgent(record, backends)
+    backends = [kit.Backend(f"s-{index}", record) for index in range(3)]
+    agent = kit.Agent(record, backends)
     counter = kit.Counter()
     for server in (*backends, counter):
         await server.start()
     agent.entries = {backend.name: (41, kit.entry(backend)) for backend in backends}
     await agent.start()
     gateway = kit.Gateway(folder, record, kit.make_settings(), agent, counter)
-    leaving = backends[0]
-    ending = asyncio.Event()
-    served = 0
+    cut: list[str] = []  # long answers whose connection the gateway closed while the backend still gave
+    whole = 0
+    seconds_to_answer: list[float] = []
+
+    def responder(backend: kit.Backend):
+        async def respond(writer: asyncio.StreamWriter, call: str) -> None:
+            if rng.random() >= LONG_SHARE:
+                await backend.answer(writer, call)
+                return
+            body = (f"result of {call} ".encode() * (ANSWER_BYTES // 16))[:ANSWER_BYTES]
+            record.write("long_answer", call=call, backend=backend.name)
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            position = 0
+            size = FIRST_PIECE
+            while position < len(body):
+                piece = body[position : position + size]
+                writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+                position += len(piece)
+                await asyncio.sleep(PAUSE if kit.trouble() and position == FIRST_PIECE else PIECE_INTERVAL)
+                size = PIECE
+                if writer.is_closing():
+                    record.write("cut_by_gateway", call=call, written=position)
+                    raise ConnectionResetError
+            writer.write(b"0\r\n\r\n")
+
+        return respond
+
+    for backend in backends:
+        backend.respond = responder(backend)
 
     async def client(number: int) -> None:
-        nonlocal served
-        connection = kit.Client(gateway, record)
+        nonlocal whole
+        end = record.now() + SECONDS
         count = 0
-        while not ending.is_set():
-            await asyncio.sleep(rng.expovariate(1 / 0.1))
+        while record.now() < end:
+            await asyncio.sleep(rng.expovariate(1 / 0.2))
             count += 1
             call = f"{number:08x}{count:08x}"
-            message = await connection.exchange(call, kit.request(call, customer=number + 1))
-            served += message is not None and message.status == 200
+            reader, writer = await gateway.connect()
+            sent_at = record.write("sent", call=call)
+            writer.write(kit.request(call, "standings-read", number + 1, budget=BUDGET))
+            first_at = None
+            received = 0
+            try:
+                async with asyncio.timeout(20.0):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    first_at = record.now() - sent_at
+                    status = int(head.split()[1])
+                    if b"chunked" in head.lower():
+                        while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
+                            received += len((await reader.readexactly(size + 2))[:-2])
+                        await reader.readuntil(b"\r\n")
+                    else:
+                        length = next(
+                            int(line.split(b":")[1])
+                            for line in head.lower().split(b"\r\n")
+                            if line.startswith(b"content-length")
+                        )
+                        received = len(await reader.readexactly(length))
+                record.write("answered", call=call, status=status, size=received, first=f"{first_at:.3f}")
+                whole += status == 200
+            except (OSError, asyncio.IncompleteReadError) as error:
+                after = record.now() - sent_at
+                record.write("CUT", call=call, first=first_at, received=received, after=f"{after:.3f}", error=repr(error)[:60])
+                cut.append(call)
+            writer.close()
 
-    clients: list[asyncio.Task[None]] = []
     try:
         await gateway.start_and_wait()
-        clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-        await asyncio.sleep(2.0)
-        agent.change(leaving, "DRAINING")
-        changed_at = record.now()
-        late_from = changed_at + TOLD_AFTER + DRAIN_GRACE + MACHINE_SLACK
-        await asyncio.sleep(late_from + WATCHED - record.now())
-        ending.set()
-        await asyncio.gather(*clients)
+        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
     finally:
-        for task in clients:
-            task.cancel()
         await gateway.end()
-    told = [at for at, name, lifecycle in agent.told if (name, lifecycle) == (leaving.name, "DRAINING")]
-    late = [run for run in leaving.ran if run[0] > late_from]
-    for at, call, _ in late:
-        record.write("SENT_TO_DRAINING", call=call, after_the_change=f"{at - changed_at:.3f}")
-    first_told = told[0] if told else None
-    record.write(
-        "summary", served=served, changed_at=changed_at, first_written=first_told, times_written=len(told),
-        late=len(late),
-    )  # fmt: skip
-    if served < 100:
+    record.write("summary", whole=whole, cut=cut)
+    if whole < 30:
         raise kit.CannotRunError("hardly any request was served")
-    return not late
+    return not cut
 
 
 kit.main(case, HERE)
