An attempt that ends before its connect begins gives its place in the pool back

Cause: the entry is removed in the `finally` of the connect's task. A task that is cancelled before its first step runs none of its code. It happens when an endpoint is retired (a drain, a removal, maintenance), or the request ends, in the iteration of the event loop in which the attempt was started.

Change: the task's done callback removes the entry, too.

Measured: the new test failed before (one entry left) and passes.

--- a/quota_gateway/upstream/connection_pool.py
+++ b/quota_gateway/upstream/connection_pool.py
@@ -112,7 +112,10 @@
             connection.send_attempt(attempt, now)
         elif self._ensure_capacity():
             self.connecting_attempts[attempt] = endpoint
-            attempt.connect_task = self.loop.create_task(self._connect(attempt, endpoint))
+            task = self.loop.create_task(self._connect(attempt, endpoint))
+            # A task that is cancelled before its first step runs none of its code, not even `finally`.
+            task.add_done_callback(lambda _: self.connecting_attempts.pop(attempt, None))
+            attempt.connect_task = task
         else:
             attempt.end(AttemptResult(Outcome.CONNECT_FAILED))
 
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -10,6 +10,7 @@
 from quota_gateway.upstream.attempt import AttemptResult
 from tests.fakes import FakeBackend, HttpMessage, http_response
 from tests.upstream_harness import (
+    ENDPOINT_ID,
     abort_connection,
     address_of,
     new_attempt,
@@ -151,3 +152,13 @@
         timeout_before = sender.pool.idle_timeout.current
         assert await sender.outcome() is Outcome.SUCCESS and endpoint.connection_count == 3
         assert timeout_before < sender.pool.idle_timeout.current < 30.0  # a live connection raises it again
+
+
+async def test_attempt_that_ends_before_its_connect_begins_frees_its_place() -> None:
+    # A task that is cancelled before its first step runs none of its code: the place was lost for good.
+    async with running_pool() as (sender, _):
+        started = sender.start()
+        sender.pool.retire_endpoint(ENDPOINT_ID)  # by a list that is read in the same turn of the event loop
+        assert (await started.result).outcome is Outcome.CONNECT_FAILED
+        await asyncio.sleep(0.01)
+        assert not sender.pool.connecting_attempts
