A response that has begun is not awaited any more: no cut in a pause, no load shed for it

Cause: until 64 KiB had come, or the attempt's deadline, such a response counted as one still awaited. The trace of one request: first byte at the backend 0.02 s after the request, forwarded at the attempt's deadline 0.75 s after it, cut 1.60 s after it (0.35 s after the client's time), 0.4 s before its backend went on. An upload's write timeout ended an attempt whose response had begun.

Change: the event ResponseStarted reports the first byte of a successful, incomplete response in every framing. The load is sampled by it and the place is free, while the response stays buffered for a retry until the attempt's deadline. The two ends of blocked uploads forward a begun response first.

Price: a response that never ends and is as large as a long one ends 10 s after its latest byte.

--- a/quota_gateway/dispatch/active_request.py
+++ b/quota_gateway/dispatch/active_request.py
@@ -13,6 +13,7 @@
 from quota_gateway.model.events import RequestReceived
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.policy.permissions import RefusalReason, attempt_refusal
+from quota_gateway.policy.response_sizes import ResponseSizes
 from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
 
 # Seconds by which the policy engine's deadline precedes the client's timeout. The timeout starts when the
@@ -41,6 +42,12 @@
     ) -> StreamSink | None:
         """Return the sink for a response too long to buffer, or None if it can't be forwarded."""
 
+    def response_started(self, active_request: ActiveRequest, attempt: UpstreamAttempt) -> None:
+        """Handle the first byte of a response that is incomplete and not forwarded yet."""
+
+    def response_sizes(self, request_class: str) -> ResponseSizes:
+        """Return the sizes of the short responses to a request class."""
+
 
 class ActiveRequest:
     """A request from its arrival until it is answered and the last of its attempts has ended.
@@ -155,6 +162,8 @@
         )
         attempt.body_stream = self.request.body_stream
         attempt.sink_factory = self.open_response_stream
+        attempt.on_response_started = self.response_started
+        attempt.response_sizes = self.observer.response_sizes(self.request.request_class)
         if action.send_within > 0:
             attempt.send_deadline = now + action.send_within
         self.attempts.append(attempt)
@@ -170,6 +179,10 @@
         """Return the sink for a response too long to buffer, or None if it can't be forwarded."""
         return self.observer.start_response_stream(self, attempt, head)
 
+    def response_started(self, attempt: UpstreamAttempt) -> None:
+        """Report the first byte of a response to the observer; called once by the attempt itself."""
+        self.observer.response_started(self, attempt)
+
     def extend_attempt_deadlines(self, now: float, loop: asyncio.AbstractEventLoop) -> None:
         """Apply the request's new deadline to its attempts in flight."""
         for attempt in self.attempts:
@@ -177,7 +190,12 @@
                 attempt.extend_deadline(self.deadline, now, loop)
 
     def time_out_blocked_attempts(self) -> None:
-        """End the attempts whose endpoint does not take the rest of a streamed body."""
+        """End the attempts whose endpoint does not take the rest of a streamed body.
+
+        A response that one of them has begun is forwarded instead.
+        """
+        if any(not attempt.has_ended and attempt.forward_begun_response() for attempt in self.attempts):
+            return
         for attempt in list(self.attempts):
             connection = attempt.connection
             if not attempt.has_ended and connection is not None and connection.is_writing_paused:
--- a/quota_gateway/dispatch/attempt_handler.py
+++ b/quota_gateway/dispatch/attempt_handler.py
@@ -6,21 +6,20 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from quota_gateway.body_streaming import ResponseHead, StreamSink
+from quota_gateway.body_streaming import MAX_BUFFERED_BYTES, ResponseHead, StreamSink
 from quota_gateway.dispatch.active_request import ActiveRequest
 from quota_gateway.dispatch.request_log import RequestLog
 from quota_gateway.dispatch.request_registry import RequestRegistry
 from quota_gateway.metrics import Metrics
-from quota_gateway.model.events import AttemptEnded, Event, ResponseStreamStarted
+from quota_gateway.model.events import AttemptEnded, Event, ResponseStarted, ResponseStreamStarted
 from quota_gateway.model.outcomes import Outcome
-from quota_gateway.upstream.attempt import AttemptResult, UpstreamAttempt
+from quota_gateway.policy.response_sizes import ResponseSizes
+from quota_gateway.upstream.attempt import MIN_TIME_TO_FIRST_BYTE, AttemptResult, UpstreamAttempt
 
 log = logging.getLogger("quota_gateway")
 
 # Outcomes of attempts that this gateway gives up although their response may still be coming.
 GIVEN_UP_OUTCOMES = (Outcome.TIMED_OUT, Outcome.BROKEN_RESPONSE)
-# Smallest time to the first byte that is reported, in seconds. The policy engine takes 0 to mean unknown.
-MIN_TIME_TO_FIRST_BYTE = 1e-6
 
 
 class AttemptHandler:
@@ -42,6 +41,7 @@
         self._post = post
         self._clock = clock
         self._max_request_units = max_request_units
+        self._response_sizes: dict[str, ResponseSizes] = {}  # by request class
 
     def attempt_ended(
         self, active_request: ActiveRequest, attempt: UpstreamAttempt, result: AttemptResult
@@ -60,6 +60,8 @@
                 result.outcome.value,
                 attempt.response_bytes,
             )
+        if result.outcome is Outcome.SUCCESS and result.body_size <= MAX_BUFFERED_BYTES:
+            self.response_sizes(active_request.request.request_class).record(result.body_size)
         self._answer(active_request, attempt, result)
         elapsed = self._clock() - attempt.waiting_since
         # no request has more units than the maximum, so an endpoint that bills more is in error
@@ -102,6 +104,18 @@
         if attempt.deadline_timer is not None:
             attempt.deadline_timer.cancel()
         response.begin_stream(head, attempt.connection)
-        elapsed = max(self._clock() - attempt.waiting_since, MIN_TIME_TO_FIRST_BYTE)
+        elapsed = attempt.time_to_first_byte
+        if elapsed is None:
+            elapsed = max(self._clock() - attempt.waiting_since, MIN_TIME_TO_FIRST_BYTE)
         self._post(ResponseStreamStarted(active_request.request_id, attempt.index, elapsed))
         return active_request.response_channel
+
+    def response_started(self, active_request: ActiveRequest, attempt: UpstreamAttempt) -> None:
+        """Report the first byte of a response that is incomplete and not forwarded yet."""
+        elapsed = attempt.time_to_first_byte
+        if elapsed is not None:
+            self._post(ResponseStarted(active_request.request_id, attempt.index, elapsed))
+
+    def response_sizes(self, request_class: str) -> ResponseSizes:
+        """Return the sizes of the short responses to a request class."""
+        return self._response_sizes.setdefault(request_class, ResponseSizes())
--- a/quota_gateway/dispatch/dispatcher.py
+++ b/quota_gateway/dispatch/dispatcher.py
@@ -135,7 +135,8 @@
             return
         if self.clock() >= earliest_end + active_request.time_budget:
             active_request.time_out_blocked_attempts()
-            self._fail_unanswered(active_request)
+            if active_request.streaming_attempt is None:
+                self._fail_unanswered(active_request)
 
     def end_request(self, request_id: int, status: int | None) -> None:
         """End an unanswered request early; a status of None sends no response."""
--- a/quota_gateway/engine/policy_engine.py
+++ b/quota_gateway/engine/policy_engine.py
@@ -126,6 +126,8 @@
                 self.request_lifecycle.client_disconnected(request)
             case events.ClientHalfClosed():
                 self.request_lifecycle.client_half_closed(request)
+            case events.ResponseStarted():
+                self.attempt_results.response_started(request, event)
             case events.ResponseStreamStarted():
                 self.attempt_results.stream_started(request, event)
             case events.RequestBodyConsumed():
--- a/quota_gateway/model/events.py
+++ b/quota_gateway/model/events.py
@@ -66,6 +66,15 @@
 # Attempts and health checks
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseStarted:
+    """The response of an attempt has begun, but it is incomplete and may still be replaced by a retry."""
+
+    request_id: int
+    attempt_index: int
+    elapsed: float  # from the start of the attempt to the first byte
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseStreamStarted:
     """The gateway has begun to forward the response of an attempt.
@@ -167,7 +176,12 @@
 
 # Events of a request that has already been received
 RequestEvent = (
-    RequestBodyConsumed | RequestBodyReceived | ClientHalfClosed | ClientDisconnected | ResponseStreamStarted
+    RequestBodyConsumed
+    | RequestBodyReceived
+    | ClientHalfClosed
+    | ClientDisconnected
+    | ResponseStarted
+    | ResponseStreamStarted
 )
 Event = (
     RequestReceived
--- a/quota_gateway/policy/attempt_results.py
+++ b/quota_gateway/policy/attempt_results.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from quota_gateway.model.actions import Reason
-from quota_gateway.model.events import AttemptEnded, ResponseStreamStarted
+from quota_gateway.model.events import AttemptEnded, ResponseStarted, ResponseStreamStarted
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.policy import outlier_detection
 from quota_gateway.policy.admission import LATE_THRESHOLD_FRACTION, AdmissionController
@@ -34,7 +34,7 @@
         attempt.in_flight = False
         attempt.proven_not_executed = event.outcome.proves_not_executed
         request.never_sent = request.never_sent and event.outcome is Outcome.NOT_SENT
-        if not attempt.is_streaming:
+        if not attempt.has_response_started:
             self.admission.attempt_finished(attempt)
         request.in_flight -= 1
         request.limiter.in_flight -= 1
@@ -56,16 +56,37 @@
         if attempt.awaits_response:
             self.admission.attempt_late(attempt)
 
+    def response_started(self, request: PendingRequest, event: ResponseStarted) -> None:
+        """Record the first byte of a response whose outcome, and a retry, depend on the rest of it."""
+        attempt = request.attempt_in_flight(event.attempt_index)
+        if attempt is not None:
+            self._record_first_byte(request, attempt, event.elapsed)
+
     def stream_started(self, request: PendingRequest, event: ResponseStreamStarted) -> None:
-        """Record the time to the first byte, and release the concurrency slot while the rest is streamed."""
+        """Record a response as successful once it is streamed: no other attempt can replace it."""
         request.streaming = True
         attempt = request.attempt_in_flight(event.attempt_index)
         if attempt is not None:
             elapsed = event.elapsed or self.context.now - attempt.sent_at
-            self.admission.attempt_finished(attempt)
+            self._record_first_byte(request, attempt, elapsed)
             attempt.is_streaming = True
             self._record_result(request, attempt, Outcome.SUCCESS, elapsed)
 
+    def _record_first_byte(self, request: PendingRequest, attempt: AttemptState, elapsed: float) -> None:
+        """Sample the load by the time to the first byte, and release the concurrency slot.
+
+        How long an endpoint takes to write the rest, or a client to read it, says nothing of the load.
+        """
+        if attempt.has_response_started:
+            return
+        self.admission.attempt_finished(attempt)
+        if not attempt.is_late:
+            self.admission.record_sample(self._is_late(request, elapsed), attempt.endpoint)
+        attempt.time_to_first_byte = elapsed
+
+    def _is_late(self, request: PendingRequest, elapsed: float) -> bool:
+        return elapsed > LATE_THRESHOLD_FRACTION * request.latency_objective
+
     def _charge_billed_units(self, request: PendingRequest, billed_units: float) -> None:
         if billed_units <= 0 or request.units_settled or not request.is_charged:
             return
@@ -106,9 +127,12 @@
             outlier_detection.record_rejection(endpoint, request, self.context.now)
             return
         failed = outcome is not Outcome.SUCCESS
-        late = elapsed > LATE_THRESHOLD_FRACTION * request.latency_objective
+        if attempt.time_to_first_byte is not None:
+            elapsed = attempt.time_to_first_byte
+        late = self._is_late(request, elapsed)
         self.admission.record_failure_rate(failed or late)
-        if not attempt.is_late and outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
+        is_sampled = attempt.is_late or attempt.has_response_started
+        if not is_sampled and outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
             self.admission.record_sample(late, endpoint)
         if not failed:
             outlier_detection.record_success(endpoint, request)
--- a/quota_gateway/state/records.py
+++ b/quota_gateway/state/records.py
@@ -48,12 +48,18 @@
     in_flight: bool = True
     proven_not_executed: bool = False  # its outcome proves that the endpoint did not execute it
     is_late: bool = False
-    is_streaming: bool = False  # its response has started and is being streamed to the client
+    time_to_first_byte: float | None = None  # seconds; None until its response has started
+    is_streaming: bool = False  # its response is being streamed to the client
+
+    @property
+    def has_response_started(self) -> bool:
+        """Whether the endpoint has begun to send a successful response."""
+        return self.time_to_first_byte is not None
 
     @property
     def awaits_response(self) -> bool:
         """Whether the attempt is in flight and its response has not started."""
-        return self.in_flight and not self.is_streaming
+        return self.in_flight and not self.has_response_started
 
 
 @dataclass(slots=True, eq=False)
--- a/quota_gateway/upstream/attempt.py
+++ b/quota_gateway/upstream/attempt.py
@@ -8,16 +8,19 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from quota_gateway.body_streaming import RequestBodyStream, ResponseHead, StreamSink, StreamSource
 from quota_gateway.model.outcomes import Outcome
 from quota_gateway.policy.permissions import RefusalReason
+from quota_gateway.policy.response_sizes import ResponseSizes
 
 # Smallest time budget that is sent to an endpoint, in seconds. X-Budget has three decimals, and 0 would mean
 # that no time is left.
 MIN_TIME_BUDGET = 0.001
+# Smallest time to the first byte, in seconds. The policy engine takes 0 to mean unknown.
+MIN_TIME_TO_FIRST_BYTE = 1e-6
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +31,7 @@
     body: bytes = b""
     billed_units: float = 0.0  # units billed by the endpoint; 0 if it reported none
     headers: bytes = b""  # header lines to forward with the body
+    body_size: int = field(default=0, compare=False)  # bytes of the whole body, also if it was streamed
 
 
 def refused_result(refusal: RefusalReason) -> AttemptResult:
@@ -85,12 +89,17 @@
     # Opens a sink for a response that is too long to buffer. If it is None or returns None, such a response
     # is an error.
     sink_factory: Callable[[UpstreamAttempt, ResponseHead], StreamSink | None] | None = None
+    # Called when a successful response has begun that is not forwarded yet.
+    on_response_started: Callable[[UpstreamAttempt], None] | None = None
+    response_sizes: ResponseSizes | None = None  # of the request's class; None if they are unknown
     connection: AttemptConnection | None = None  # set when sending starts
     written_at: float | None = None  # when the kernel accepted the request's last byte
     connect_task: asyncio.Task[None] | None = None
     deadline_timer: asyncio.TimerHandle | None = None  # fires at `deadline`
     is_response_streamed: bool = False  # a long response is being forwarded
     response_bytes: int = 0  # how much of the response has been received
+    # Seconds from `waiting_since` to the first byte of a successful response; None until then.
+    time_to_first_byte: float | None = None
 
     @property
     def has_ended(self) -> bool:
@@ -120,6 +129,18 @@
         self.is_response_streamed = sink is not None
         return sink
 
+    def response_started(self, now: float) -> None:
+        """Record the first byte of a successful response at `now`; only the first call has an effect."""
+        if self.time_to_first_byte is not None:
+            return
+        self.time_to_first_byte = max(now - self.waiting_since, MIN_TIME_TO_FIRST_BYTE)
+        if self.on_response_started is not None:
+            self.on_response_started(self)
+
+    def has_likely_long_response(self, size: int) -> bool:
+        """Return whether a response with `size` bytes of its body so far is likely to be a long one."""
+        return self.response_sizes is not None and self.response_sizes.is_likely_long(size)
+
     def end(self, result: AttemptResult) -> None:
         """End the attempt: cancel its connect, close its connection and pass the result to the owner.
 
@@ -128,8 +149,9 @@
         owner = self.owner
         if owner is None:
             return
-        self.owner = None  # breaks the reference cycle between attempt and owner, as the next line does
+        self.owner = None  # breaks the reference cycle between attempt and owner, as the next two lines do
         self.sink_factory = None
+        self.on_response_started = None
         if self.body_stream is not None:
             self.body_stream.detach_attempt()
         if self.deadline_timer is not None:
@@ -151,14 +173,20 @@
         """Start the timer that ends the attempt at its deadline."""
         self.deadline_timer = loop.call_later(max(self.deadline - now, 0.0), self._deadline_reached)
 
+    def forward_begun_response(self) -> bool:
+        """Forward a response that has begun and may be long; return whether one is being forwarded."""
+        if self.is_response_streamed:
+            return True
+        return self.connection is not None and self.connection.forward_begun_response(self)
+
     def _deadline_reached(self) -> None:
         """End the attempt, unless a response has begun that may be too long to have arrived by now."""
-        if self.connection is None or not self.connection.forward_begun_response(self):
+        if not self.forward_begun_response():
             self.time_out()
 
     def time_out_write(self) -> None:
         """End the attempt, since its endpoint takes nothing, unless a response that it has begun goes on."""
-        if not self.is_response_streamed:
+        if not self.forward_begun_response():
             self.time_out()
 
     def time_out(self) -> None:
--- a/quota_gateway/upstream/connection.py
+++ b/quota_gateway/upstream/connection.py
@@ -179,15 +179,11 @@
             # The endpoint may have executed the request even if its response is invalid.
             attempt.end(AttemptResult(Outcome.BROKEN_RESPONSE))
         elif response.is_in_progress and not self.is_reading_paused:
-            self._update_account()
+            if response.has_started and response.sink is None:
+                attempt.response_started(self.pool.clock())
+            update_account(self._account, response)
             self.read_timeout.restart(attempt, self._response)
 
-    def _update_account(self) -> None:
-        """Count what is buffered of the response; while memory is short, forward it before it is complete."""
-        self._account.update(self._response.buffered_bytes)
-        if not self._account.may_grow and not self._response.is_complete and self._response.start_streaming():
-            self._account.update(0)
-
     def _open_stream(self, head: ResponseHead) -> StreamSink | None:
         return self.attempt.open_stream(head) if self.attempt is not None else None
 
@@ -245,6 +241,13 @@
         self._write_timeout.stop()
 
 
+def update_account(account: BufferAccount, response: ResponseParser) -> None:
+    """Count what is buffered of a response; while memory is short, forward it before it is complete."""
+    account.update(response.buffered_bytes)
+    if not account.may_grow and not response.is_complete and response.start_streaming():
+        account.update(0)
+
+
 def write_chunks(
     connection: UpstreamConnection, transport: asyncio.Transport, body_stream: RequestBodyStream
 ) -> None:
--- a/quota_gateway/upstream/read_timeout.py
+++ b/quota_gateway/upstream/read_timeout.py
@@ -17,7 +17,7 @@
 READ_TIMEOUT_FRACTION = 0.2
 # Longest time in seconds between parts of a streamed response, which can't be retried.
 STREAM_READ_TIMEOUT = 10.0
-# The same for a streamed response that may still end within the buffer limit.
+# The same for a streamed response that may still be a short one, and is not likely to be long.
 UNDECIDED_READ_TIMEOUT = 1.0
 # Seconds after the client's deadline until such a response may be ended: its request must end soon after.
 UNDECIDED_RESPONSE_DELAY = 0.35
@@ -26,7 +26,7 @@
 class ReadTimeout:
     """Runs while a response is incomplete and its connection is read; each part restarts it."""
 
-    __slots__ = ("_clock", "_loop", "_read_at", "_timer")
+    __slots__ = ("_clock", "_loop", "_read_at", "_seconds", "_timer")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float]) -> None:
         """Initialize a stopped timeout; `clock` returns seconds."""
@@ -34,6 +34,7 @@
         self._clock = clock
         self._timer: asyncio.TimerHandle | None = None
         self._read_at = 0.0  # seconds: when the latest part arrived
+        self._seconds = 0.0  # from the latest part until the timer fires
 
     @property
     def is_running(self) -> bool:
@@ -50,8 +51,9 @@
         self.stop()
         timeout = self._timeout(attempt, response)
         if timeout is not None:
+            self._seconds = timeout
             delay = max(self._read_at + timeout - self._clock(), 0.0)
-            self._timer = self._loop.call_later(delay, self._read_timed_out, attempt)
+            self._timer = self._loop.call_later(delay, self._read_timed_out, attempt, response)
 
     def stop(self) -> None:
         """Stop the timeout."""
@@ -59,14 +61,18 @@
             self._timer.cancel()
             self._timer = None
 
-    def _read_timed_out(self, attempt: UpstreamAttempt) -> None:
-        attempt.end(AttemptResult(Outcome.BROKEN_RESPONSE))
+    def _read_timed_out(self, attempt: UpstreamAttempt, response: ResponseParser) -> None:
+        timeout = self._timeout(attempt, response)
+        if timeout is not None and timeout > self._seconds:
+            self.update(attempt, response)  # other responses have shown meanwhile that this is a long one
+        else:
+            attempt.end(AttemptResult(Outcome.BROKEN_RESPONSE))
 
     def _timeout(self, attempt: UpstreamAttempt, response: ResponseParser) -> float | None:
         """Return the seconds from the latest part to the next one, None for until the attempt's deadline."""
         if response.sink is not None:
-            is_undecided = response.may_be_short
-            return undecided_read_timeout(attempt, self._read_at) if is_undecided else STREAM_READ_TIMEOUT
+            is_long = not response.may_be_short or attempt.has_likely_long_response(response.body_size)
+            return STREAM_READ_TIMEOUT if is_long else undecided_read_timeout(attempt, self._read_at)
         waits_for_deadline = response.is_length_unknown and attempt.sink_factory is not None
         return None if waits_for_deadline else buffered_read_timeout(attempt)
 
--- a/quota_gateway/upstream/response_parser.py
+++ b/quota_gateway/upstream/response_parser.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 import httptools
 
@@ -29,7 +30,6 @@
 
     __slots__ = (
         "_body",
-        "_body_size",
         "_has_extra_message",
         "_headers",
         "_is_in_body",
@@ -38,6 +38,7 @@
         "_open_stream",
         "_parser",
         "_status",
+        "body_size",
         "bytes_received",
         "is_complete",
         "is_in_progress",
@@ -66,7 +67,7 @@
     def _reset_message(self) -> None:
         self._headers = ResponseHeaders()
         self._body = bytearray()  # what is buffered of it
-        self._body_size = 0
+        self.body_size = 0  # bytes of the body that have been received
 
     def release(self) -> None:
         """Break the reference cycles with the parser and the connection, so that they are freed at once."""
@@ -97,9 +98,14 @@
         """Return whether the response is malformed or exceeds a limit, so that it can't be completed."""
         max_bytes = MAX_HEAD_BYTES
         if self._is_in_body:
-            max_bytes += 2 * MAX_BUFFERED_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size
+            max_bytes += 2 * MAX_BUFFERED_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body_size
         max_body_bytes = MAX_BUFFERED_BYTES if self.sink is None else MAX_BODY_BYTES
-        return self._is_malformed or self.bytes_received > max_bytes or self._body_size > max_body_bytes
+        return self._is_malformed or self.bytes_received > max_bytes or self.body_size > max_body_bytes
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of a successful response is complete."""
+        return self._is_in_body and self._may_be_streamed()
 
     @property
     def is_length_unknown(self) -> bool:
@@ -111,7 +117,7 @@
     def may_be_short(self) -> bool:
         """Whether the body may end within the buffer limit."""
         length = self._headers.content_length
-        return self._body_size <= MAX_BUFFERED_BYTES and (length is None or length <= MAX_BUFFERED_BYTES)
+        return self.body_size <= MAX_BUFFERED_BYTES and (length is None or length <= MAX_BUFFERED_BYTES)
 
     @property
     def buffered_bytes(self) -> int:
@@ -154,20 +160,15 @@
         """Return the result of a complete response, and release its buffer and sink."""
         has_full_body = self._has_full_body()
         body = bytes(self._body)
-        headers = self._headers
         self._body = bytearray()
         self.sink = None
         if not has_full_body:
             return AttemptResult(Outcome.BROKEN_RESPONSE)
-        if self._status == 200:
-            return AttemptResult(Outcome.SUCCESS, body, headers.billed_units, headers.forwarded_headers)
-        if headers.is_rejection and self._status in REJECTION_STATUSES:
-            return AttemptResult(Outcome.REJECTED)
-        return AttemptResult(Outcome.ERROR)
+        return result_of(self._status, self._headers, body, self.body_size)
 
     def _has_full_body(self) -> bool:
         """Return whether the entire body was buffered or forwarded."""
-        return self.sink is not None or self._body_size <= MAX_BUFFERED_BYTES
+        return self.sink is not None or self.body_size <= MAX_BUFFERED_BYTES
 
     def on_message_begin(self) -> None:
         """Start a message: an interim response, the final response, or an unsolicited one."""
@@ -202,8 +203,8 @@
         """Buffer or forward a part of the body."""
         if self.is_complete:
             return
-        self._body_size += len(data)
-        if self._body_size <= (MAX_BUFFERED_BYTES if self.sink is None else MAX_BODY_BYTES):
+        self.body_size += len(data)
+        if self.body_size <= (MAX_BUFFERED_BYTES if self.sink is None else MAX_BODY_BYTES):
             self._body += data
         elif self.sink is None and self._may_be_streamed():
             self._body += data
@@ -225,6 +226,17 @@
             self._keep_alive = self._parser.should_keep_alive()  # known only during this callback
 
 
+def result_of(status: int, headers: ResponseHeaders, body: bytes, body_size: int) -> AttemptResult:
+    """Return the result of a complete response, of whose `body_size` bytes `body` has been buffered."""
+    if status == HTTPStatus.OK:
+        return AttemptResult(
+            Outcome.SUCCESS, body, headers.billed_units, headers.forwarded_headers, body_size
+        )
+    if headers.is_rejection and status in REJECTION_STATUSES:
+        return AttemptResult(Outcome.REJECTED)
+    return AttemptResult(Outcome.ERROR)
+
+
 def is_interim(status: int) -> bool:
     """Return whether a response with this status is followed by the final response."""
     return 100 <= status < 200
--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -8,12 +8,17 @@
 
 import pytest
 
-from tests.fakes import HttpMessage, ResponseStep
+from tests.fakes import HttpMessage, ResponseStep, send_success
 from tests.harness import Client, GatewayHarness, high_quota_settings, request, running_gateway
 
 BODY_SIZE = 160_000  # bytes; over the 64 KiB that a gateway may hold back
 BUDGET = 0.8  # seconds that the client waits for the first bytes
 PREFIX_SIZE = 24_000  # bytes that an endpoint writes before it stops for good
+PAUSE = 2.0  # seconds that an endpoint spends between two pieces of a long response
+PAUSED_COUNT = 48  # such responses, which begin one after the other
+START_INTERVAL = 0.04  # seconds between two of them
+ORDINARY_INTERVAL = 0.1  # seconds between two ordinary requests
+FIRST_ORDINARY = 1000  # number of the first one
 RESPONSE_SLACK = 0.5  # seconds after the client's time within which the end of a request counts
 CLIENT_TIMEOUT = 8.0  # seconds; more than any of the responses takes
 
@@ -64,6 +69,30 @@
     await asyncio.Event().wait()
 
 
+async def pause_if_long(writer: asyncio.StreamWriter, received: HttpMessage) -> None:
+    if int(received.headers["x-call-id"], 16) >= FIRST_ORDINARY:
+        send_success(writer, received)
+        return
+    rest_size = BODY_SIZE - PREFIX_SIZE
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    writer.write(b"%x\r\n%b\r\n" % (PREFIX_SIZE, b"z" * PREFIX_SIZE))
+    await asyncio.sleep(PAUSE)
+    writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (rest_size, b"z" * rest_size))
+
+
+async def send_ordinary_requests(harness: GatewayHarness) -> list[int]:
+    """Send ordinary requests until cancelled, and return the statuses of their responses."""
+    client = await harness.connect_client()
+    statuses: list[int] = []
+    try:
+        while True:
+            response = await client.exchange(request(FIRST_ORDINARY + len(statuses), budget=BUDGET))
+            statuses.append(response.status)
+            await asyncio.sleep(ORDINARY_INTERVAL)
+    except asyncio.CancelledError:
+        return statuses
+
+
 async def read_to_end(client: Client, text: bytes) -> Received:
     started_at = time.monotonic()
     client.send(text)
@@ -112,3 +141,26 @@
         received = await get_slow_response(harness, stop_midway, request_class)
     assert received.ended_at <= BUDGET + RESPONSE_SLACK
     assert not received.data.endswith(b"\r\n0\r\n\r\n")
+
+
+async def test_begun_response_that_pauses_is_not_cut_off_and_sheds_no_other_request() -> None:
+    # It was taken for one still awaited, by the read timeout and by what sheds load while responses are late.
+    settings = high_quota_settings()
+    for service in settings["services"]:
+        service.update(aim=800.0, deadline=2500.0)
+    async with running_gateway(backends=4, settings=settings) as harness:
+        for backend in harness.backends:
+            backend.script = [pause_if_long] * 1000
+        ordinary = asyncio.create_task(send_ordinary_requests(harness))
+        paused: list[asyncio.Task[Received]] = []
+        for number in range(PAUSED_COUNT):
+            await asyncio.sleep(START_INTERVAL)
+            client = await harness.connect_client()
+            text = request(number, budget=BUDGET)
+            paused.append(asyncio.create_task(read_to_end(client, text)))
+        received = await asyncio.gather(*paused)
+        ordinary.cancel()
+        statuses = await ordinary
+    assert set(statuses) == {200} and len(statuses) > PAUSE / ORDINARY_INTERVAL
+    assert [response.data.count(b"z") for response in received] == [BODY_SIZE] * PAUSED_COUNT
+    assert max(response.first_byte_at for response in received) <= BUDGET + RESPONSE_SLACK
