--- a/quota_gateway/dispatch/active_request.py
+++ b/quota_gateway/dispatch/active_request.py
@@ -110,11 +110,6 @@
         margin = min(WATCHDOG_MARGIN, MAX_MARGIN_FRACTION * request.client_timeout / 2)
         return request.received_at + request.client_timeout - margin
 
-    @property
-    def forbids_repeats(self) -> bool:
-        """Whether the request must not be executed twice."""
-        return self.request.forbids_repeats
-
     def received_event(self) -> RequestReceived:
         """Return the event that reports the request to the policy engine."""
         request = self.request
--- a/quota_gateway/dispatch/request_registry.py
+++ b/quota_gateway/dispatch/request_registry.py
@@ -33,9 +33,10 @@
 
     def record_attempt(self, active_request: ActiveRequest) -> bool:
         """Remember the id of a request that must not run twice; return whether it was not known before."""
-        call_id = active_request.request.call_id
+        request = active_request.request
+        call_id = request.call_id
         now = self._clock()
-        if not active_request.forbids_repeats or self.repeated_calls.is_repeat(call_id, now):
+        if not request.forbids_repeats or self.repeated_calls.is_repeat(call_id, now):
             return False
         self.repeated_calls.add(call_id, now)
         return True
--- a/tests/soak/control.py
+++ b/tests/soak/control.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import pathlib
-import re
 import signal
 import sys
 import time
@@ -13,6 +13,7 @@
 from typing import Any
 
 from tests.fakes import example_settings
+from tests.process_memory import private_bytes
 from tests.soak.backends import BackendMode
 from tests.soak.event_log import EventLog
 from tests.soak.fault_proxy import ProxyMode
@@ -61,15 +62,6 @@
 }
 
 
-def private_bytes(process_id: int) -> int:
-    """Return the memory that belongs to a process alone, 0 if it has ended."""
-    try:
-        text = pathlib.Path(f"/proc/{process_id}/smaps_rollup").read_text()
-    except OSError:
-        return 0
-    return sum(1024 * int(size) for size in re.findall(r"Private_\w+:\s+(\d+) kB", text))
-
-
 def gateway_settings(size: RunSize, index: int) -> dict[str, Any]:
     """Return the settings of one gateway: those of the example, with short deadlines and more quota."""
     settings = example_settings()
@@ -233,7 +225,9 @@
         """Log each sample of a gateway process's own memory that is over its limit."""
         while time.monotonic() < end:
             for child in [child for gateway in self.gateways for child in gateway.running]:
-                size = private_bytes(child.os_process.pid)
+                size = 0
+                with contextlib.suppress(OSError):  # the process has ended
+                    size = private_bytes(child.os_process.pid)
                 if size > self.memory_limit * MEGABYTE:
                     self.log.write("memory_exceeded", process=child.name, size=size)
             await asyncio.sleep(MEMORY_SAMPLE_INTERVAL)
--- a/tests/test_flooding_client.py
+++ b/tests/test_flooding_client.py
@@ -13,8 +13,9 @@
 
 from tests.harness import READY_REQUEST, GatewayHarness, request
 from tests.policy_harness import make_engine, make_request
+from tests.process_memory import private_bytes
 from tests.test_gateway_process import process
-from tests.test_memory_limit import MEGABYTE, MEMORY_LIMIT, private_bytes
+from tests.test_memory_limit import MEGABYTE, MEMORY_LIMIT
 
 FLOOD_TIME = 4.0  # seconds
 REQUESTS = 30_000  # requests that are sent again and again
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -5,13 +5,13 @@
 import asyncio
 import contextlib
 import pathlib
-import re
 import socket
 
 import pytest
 
 from tests.fakes import HOST, HttpMessage, http_response, send_success
 from tests.harness import GatewayHarness, request
+from tests.process_memory import private_bytes
 from tests.test_gateway_process import process
 
 MEGABYTE = 1_000_000  # bytes
@@ -83,12 +83,6 @@
 }
 
 
-def private_bytes(process_id: int) -> int:
-    """Return the memory that belongs to this process alone."""
-    text = pathlib.Path(f"/proc/{process_id}/smaps_rollup").read_text()
-    return sum(1024 * int(size) for size in re.findall(r"Private_\w+:\s+(\d+) kB", text))
-
-
 async def crowd_client(port: int, text: bytes) -> None:
     """Write as much of the text as the gateway takes, read nothing, and stay connected."""
     loop = asyncio.get_running_loop()
