--- a/quota_gateway/dispatch/attempt_handler.py
+++ b/quota_gateway/dispatch/attempt_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -41,7 +42,7 @@
         self._post = post
         self._clock = clock
         self._max_request_units = max_request_units
-        self._response_sizes: dict[str, ResponseSizes] = {}  # by request class
+        self._response_sizes: defaultdict[str, ResponseSizes] = defaultdict(ResponseSizes)  # by request class
 
     def attempt_ended(
         self, active_request: ActiveRequest, attempt: UpstreamAttempt, result: AttemptResult
@@ -118,4 +119,4 @@
 
     def response_sizes(self, request_class: str) -> ResponseSizes:
         """Return the sizes of the short responses to a request class."""
-        return self._response_sizes.setdefault(request_class, ResponseSizes())
+        return self._response_sizes[request_class]
--- a/quota_gateway/downstream/request_handler.py
+++ b/quota_gateway/downstream/request_handler.py
@@ -196,9 +196,8 @@
         if self.streaming_writer is not None:
             self.router.dispatcher.end_request(self.streaming_writer.request_id, error.status)
             return
-        self.body = (
-            bytearray()
-        )  # the connection may stay open for seconds until the client has read the error
+        # the connection may stay open for seconds, until the client has read the error
+        self.body = bytearray()
         writer = ResponseWriter(connection, False, self.http_version)
         connection.responses.append(writer)
         writer.send(error.status, f"{error}\n".encode())
